--- /dev/null
+++ b/include/cometspoke/sender.hpp
@@ -0,0 +1,215 @@
+/// cometspoke: the interface of the decision module (its types, events and actions).
+///
+/// Units: every time is a std::chrono::microseconds count on the caller's own clock, which only advances.
+/// Ownership: a Sender owns all its state and shares nothing with other Senders.
+/// Threads: a Sender is not thread-safe; one thread at a time calls it. It starts no thread and does no I/O.
+/// Determinism: the same settings, seed, events and times give the same actions.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cometspoke {
+
+using Time = std::chrono::microseconds;
+using MessageId = std::uint64_t;
+using EndpointId = std::uint32_t;
+using DestinationId = std::int64_t;
+
+/// What a repeat of a message may do: nothing bad, nothing within a window, or take effect twice.
+enum class Effect { Retryable, Dedup, Fragile };
+/// Which endpoints of a destination drop a repeat of a Dedup message.
+enum class DedupScope { All, Zone, Endpoint };
+/// How worth falls after the aim: evenly to late_worth at the deadline, or by half with each further aim.
+enum class LateWorth { Linear, Halving };
+
+struct ClassSettings {
+    Effect effect = Effect::Retryable;
+    DedupScope dedup_scope = DedupScope::All;
+    Time window{0};    ///< how long repeats are dropped, from the first doubtful send
+    Time aim{0};       ///< full worth when delivered within this time
+    Time deadline{0};  ///< no worth, and a final answer owed, after this time
+    double worth = 1.0;
+    double late_worth = 0.0;
+    bool sequential = false;  ///< messages that share a key go one at a time, in arrival order
+};
+
+struct TenantSettings {
+    double quota_per_s = 0.0;  ///< across all senders; 0 means no quota
+};
+
+struct KindSettings {
+    bool routes_apart = false;  ///< each endpoint is a route with its own limit, waits and outages
+    std::size_t per_call = 1;   ///< messages that one call may carry
+};
+
+/// All that the operator tells a Sender at its start. Figures of the rules keep the operator's names.
+struct Settings {
+    std::vector<ClassSettings> classes;
+    std::vector<TenantSettings> tenants;
+    std::vector<KindSettings> kinds;
+    std::optional<std::size_t> zone;  ///< index of this sender's own zone
+    std::size_t zones = 0;
+    std::size_t n_instances = 1;
+    std::size_t slots = 0;      ///< calls out at once
+    std::size_t most_held = 0;  ///< messages held at once
+    std::size_t max_attempts = 1;
+    bool cancel = false;
+    bool must_subscribe = false;  ///< list changes come only after a Watch
+    bool listed_rates = false;    ///< ListEntry::rate is the destination's agreed rate
+    double floor_per_s = 0.0;     ///< operator's reservation for each destination (r); 0 means none
+    double over_share_worth = 1.0;
+    LateWorth loses_worth = LateWorth::Linear;
+    Time conn_idle{0};
+    Time fall{0};
+    Time warm_within{0};
+    Time settle_after_doubt{0};
+    double fall_multiple = 1.0;
+    double cold_from = 1.0;
+};
+
+// ---- events ----
+
+enum class Condition { Gone, Ready, Draining };
+enum class ListKind { Cached, Full, Changes, Failed };
+
+struct ListEntry {
+    EndpointId endpoint = 0;
+    DestinationId destination = 0;
+    std::size_t zone = 0;
+    std::size_t kind = 0;
+    double rate = 0.0;  ///< agreed calls a second from all senders, where Settings::listed_rates
+    Condition condition = Condition::Ready;
+};
+/// What the registry tells. Cached and Full replace the list; Changes amend it; Failed leaves it in force.
+struct ListEvent {
+    ListKind kind = ListKind::Full;
+    std::vector<ListEntry> entries;
+};
+/// A new message, to be ended exactly once by a terminal outcome, Refuse or Fail.
+struct MessageEvent {
+    MessageId message = 0;
+    DestinationId destination = 0;
+    std::size_t message_class = 0;
+    std::optional<std::size_t> tenant;
+    std::optional<std::uint64_t> key;
+    Time left{0};  ///< time until the message is given up
+};
+/// The response of a streamed message has begun: the attempt belongs to the client from here on.
+struct StreamStarted {
+    MessageId message = 0;
+    std::uint32_t attempt = 0;
+};
+enum class Outcome {
+    Served,
+    ServerError,
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    ConnectionLost,
+    CalledOff,
+    NotSent
+};
+struct LoadReport {
+    double left = 0.0;   ///< share of the limit that is left
+    double limit = 0.0;  ///< limit in calls a second from all senders; 0 where there is none
+};
+/// How an attempt ended; each Send gets exactly one.
+struct OutcomeEvent {
+    MessageId message = 0;
+    EndpointId endpoint = 0;
+    std::uint32_t attempt = 0;
+    Outcome outcome = Outcome::Served;
+    bool terminal = false;  ///< the message has its final answer
+    Time rtt{0};
+    Time wait{0};  ///< for TurnedAway: the told wait, 0 if none
+    std::optional<LoadReport> report;
+};
+struct AbandonedEvent {
+    MessageId message = 0;
+};
+struct TimerFired {};
+struct ProbeResult {
+    EndpointId endpoint = 0;
+    Outcome outcome = Outcome::Served;
+    Time rtt{0};
+    std::optional<LoadReport> report;
+};
+struct PeerNote {
+    std::size_t from = 0;
+    std::string bytes;
+};
+using Event = std::variant<ListEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent, TimerFired,
+    ProbeResult, PeerNote>;
+
+// ---- actions ----
+
+/// Start an attempt; attempts of a message count from 0 in the order of their Sends.
+struct Send {
+    MessageId message = 0;
+    EndpointId endpoint = 0;
+    Time time_out{0};
+};
+struct CancelAttempt {
+    MessageId message = 0;
+    std::uint32_t attempt = 0;
+};
+/// Final: never ran, or a repeat does no harm; the client may come again.
+struct Refuse {
+    MessageId message = 0;
+    Time retry_after{0};
+};
+/// Final: given up, with no promise about its effect.
+struct Fail {
+    MessageId message = 0;
+};
+struct SetTimer {
+    Time delay{0};
+};
+struct Probe {
+    EndpointId endpoint = 0;
+};
+struct CloseIdle {
+    EndpointId endpoint = 0;
+};
+/// A note to one peer, or to all where `to` is empty.
+struct TellPeers {
+    std::optional<std::size_t> to;
+    std::string bytes;
+};
+struct Watch {
+    bool on = true;
+};
+struct FetchList {};
+struct Log {
+    std::string text;
+};
+using Action = std::variant<Send, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, TellPeers, Watch,
+    FetchList, Log>;
+
+/// The decisions of one sender. Feed every event to observe(), then call decide() once for the batch and
+/// carry out the actions in order. Late or unknown message ids are passed over.
+class Sender {
+public:
+    /// Throws std::invalid_argument naming the setting where Settings make no sense.
+    Sender(Settings settings, std::uint64_t seed);
+    ~Sender();
+    Sender(Sender&&) noexcept;
+    Sender& operator=(Sender&&) noexcept;
+
+    /// Throws std::invalid_argument where an event names a class, tenant, zone or kind not in the Settings.
+    void observe(const Event& event, Time now);
+    std::vector<Action> decide(Time now);
+
+private:
+    class Logic;
+    std::unique_ptr<Logic> logic_;
+};
+
+}  // namespace cometspoke
--- /dev/null
+++ b/src/drill.cpp
@@ -0,0 +1,9 @@
+#include <iostream>
+
+#include "wire.hpp"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    return cometspoke::wire::run(std::cin, std::cout, std::cerr);
+}
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,441 @@
+#include "wire.hpp"
+
+#include <array>
+#include <cmath>
+#include <istream>
+#include <ostream>
+#include <set>
+#include <utility>
+
+namespace cometspoke::wire {
+namespace {
+
+Time from_ms(double ms) { return Time(static_cast<Time::rep>(std::llround(ms * 1000.0))); }
+double to_ms(Time time) { return static_cast<double>(time.count()) / 1000.0; }
+
+const Json& need(const Json& object, const char* name) {
+    const auto found = object.find(name);
+    if (found == object.end() || found->is_null()) throw BadInput(std::string("missing field ") + name);
+    return *found;
+}
+/// The field's value, or the fallback where it is absent.
+template <class T>
+T value_or(const Json& object, const char* name, T fallback) {
+    const auto found = object.find(name);
+    return found == object.end() || found->is_null() ? fallback : found->get<T>();
+}
+Time time_or(const Json& object, const char* name, Time fallback) {
+    return from_ms(value_or(object, name, to_ms(fallback)));
+}
+template <class T>
+T field(const Json& object, const char* name) {
+    return need(object, name).get<T>();
+}
+
+MessageId ticket_of(const Json& fields) {
+    const auto text = field<std::string>(fields, "ticket");
+    if (text.size() != 16 || text.find_first_not_of("0123456789abcdef") != std::string::npos)
+        throw BadInput("ticket is not 16 hex digits: " + text);
+    return std::stoull(text, nullptr, 16);
+}
+std::string ticket_text(MessageId message) {
+    static constexpr char digits[] = "0123456789abcdef";
+    std::string text(16, '0');
+    for (std::size_t i = 16; i-- > 0; message >>= 4) text[i] = digits[message & 15];
+    return text;
+}
+
+constexpr std::array<std::pair<const char*, Outcome>, 8> outcome_codes{
+    {{"served", Outcome::Served}, {"server_error", Outcome::ServerError},
+        {"turned_away", Outcome::TurnedAway}, {"no_answer", Outcome::NoAnswer},
+        {"no_connection", Outcome::NoConnection}, {"connection_lost", Outcome::ConnectionLost},
+        {"called_off", Outcome::CalledOff}, {"not_sent", Outcome::NotSent}}};
+Outcome outcome_code(const Json& fields) {
+    const auto text = field<std::string>(fields, "code");
+    for (const auto& [name, outcome] : outcome_codes)
+        if (text == name) return outcome;
+    throw BadInput("unknown code " + text);
+}
+
+constexpr char base64_digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+std::string to_base64(const std::string& bytes) {
+    std::string text;
+    for (std::size_t i = 0; i < bytes.size(); i += 3) {
+        std::uint32_t block = 0;
+        const std::size_t have = std::min<std::size_t>(3, bytes.size() - i);
+        for (std::size_t j = 0; j < 3; ++j)
+            block = block << 8 | (j < have ? static_cast<unsigned char>(bytes[i + j]) : 0u);
+        for (std::size_t j = 0; j < 4; ++j)
+            text += j <= have ? base64_digits[block >> (18 - 6 * j) & 63] : '=';
+    }
+    return text;
+}
+std::string from_base64(const std::string& text) {
+    std::string bytes;
+    std::uint32_t block = 0;
+    int bits = 0;
+    for (const char digit : text) {
+        if (digit == '=') break;
+        const auto at = std::string_view(base64_digits).find(digit);
+        if (at == std::string_view::npos) throw BadInput("content is not base64");
+        block = block << 6 | static_cast<std::uint32_t>(at);
+        bits += 6;
+        if (bits >= 8) bytes += static_cast<char>(block >> (bits -= 8) & 255);
+    }
+    return bytes;
+}
+
+std::map<std::string, std::size_t> index_names(const Json& names) {
+    std::map<std::string, std::size_t> index;
+    for (const Json& entry : names)
+        index.emplace(
+            entry.is_string() ? entry.get<std::string>() : field<std::string>(entry, "name"), index.size());
+    return index;
+}
+std::size_t index_of(
+    const std::map<std::string, std::size_t>& index, const std::string& name, const char* what) {
+    const auto found = index.find(name);
+    if (found == index.end()) throw BadInput(std::string("unknown ") + what + " " + name);
+    return found->second;
+}
+
+ClassSettings class_of(const Json& fields) {
+    ClassSettings result;
+    const auto effect = field<std::string>(fields, "effect");
+    if (effect != "retryable" && effect != "dedup" && effect != "fragile")
+        throw BadInput("unknown effect " + effect);
+    result.effect = effect == "fragile" ? Effect::Fragile
+                    : effect == "dedup" ? Effect::Dedup
+                                        : Effect::Retryable;
+    const auto scope = value_or<std::string>(fields, "dedup_scope", "all");
+    result.dedup_scope = scope == "all"    ? DedupScope::All
+                         : scope == "zone" ? DedupScope::Zone
+                                           : DedupScope::Endpoint;
+    result.window = time_or(fields, "window_ms", Time(0));
+    result.aim = from_ms(field<double>(fields, "aim_ms"));
+    result.deadline = from_ms(field<double>(fields, "hard_limit_ms"));
+    result.worth = value_or(fields, "worth", 1.0);
+    result.late_worth = value_or(fields, "late_worth", 0.0);
+    result.sequential = value_or(fields, "sequential", false);
+    return result;
+}
+
+void read_limits(const Json& params, Settings& settings) {
+    const Json& limits = need(params, "limits");
+    settings.most_held = field<std::size_t>(limits, "most_held");
+    settings.max_attempts = field<std::size_t>(limits, "max_attempts");
+    settings.cancel = value_or(limits, "cancel", false);
+    settings.conn_idle = time_or(limits, "conn_idle_ms", Time(0));
+    const Json& contract = need(params, "contract");
+    settings.fall = time_or(contract, "fall_ms", Time(0));
+    settings.warm_within = time_or(contract, "warm_within_ms", Time(0));
+    settings.settle_after_doubt = time_or(contract, "settle_after_doubt_ms", Time(0));
+    settings.fall_multiple = value_or(contract, "fall_multiple", settings.fall_multiple);
+    settings.cold_from = value_or(contract, "cold_from", settings.cold_from);
+}
+
+void read_kinds(const Json& info, std::size_t count, Settings& settings) {
+    const Json none = Json::array();
+    const Json& apart = info.contains("routes_apart") ? info["routes_apart"] : none;
+    const Json& per_call = info.contains("per_call") ? info["per_call"] : none;
+    settings.kinds.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (i < apart.size()) settings.kinds[i].routes_apart = apart[i].get<bool>();
+        if (i < per_call.size()) settings.kinds[i].per_call = per_call[i].get<std::size_t>();
+    }
+}
+
+Settings settings_of(const Json& params) {
+    Settings settings;
+    for (const Json& entry : need(params, "classes")) settings.classes.push_back(class_of(entry));
+    for (const Json& entry : value_or(params, "tenants", Json::array()))
+        settings.tenants.push_back({value_or(entry, "quota_per_s", 0.0)});
+    const Json& info = need(params, "family_info");
+    settings.slots = field<std::size_t>(info, "slots");
+    read_kinds(info, need(params, "kinds").size(), settings);
+    settings.loses_worth = value_or<std::string>(info, "loses_worth", "linear") == "halving"
+                               ? LateWorth::Halving
+                               : LateWorth::Linear;
+    read_limits(params, settings);
+    settings.n_instances = field<std::size_t>(params, "n_instances");
+    settings.must_subscribe = value_or<std::string>(params, "discovery", "automatic") == "subscribe";
+    settings.listed_rates = value_or<std::string>(params, "weights", "off") != "off";
+    settings.floor_per_s = value_or(params, "floor_per_s", 0.0);
+    settings.over_share_worth = value_or(params, "over_share_worth", 1.0);
+    return settings;
+}
+
+}  // namespace
+
+Instance::Instance(const Json& params, std::uint64_t seed)
+    : classes_(index_names(need(params, "classes"))),
+      tenants_(index_names(value_or(params, "tenants", Json::array()))),
+      zones_(index_names(value_or(params, "localities", Json::array()))),
+      kinds_(index_names(need(params, "kinds"))) {
+    Settings settings = settings_of(params);
+    settings.zones = zones_.size();
+    if (const auto zone = zones_.find(value_or<std::string>(params, "az", "")); zone != zones_.end())
+        settings.zone = zone->second;
+    sender_.emplace(std::move(settings), seed);
+}
+
+EndpointId Instance::endpoint_of(const std::string& name) {
+    const auto [found, fresh] = endpoints_.emplace(name, static_cast<EndpointId>(endpoint_names_.size()));
+    if (fresh) endpoint_names_.push_back(name);
+    return found->second;
+}
+
+ListEvent Instance::list_of(const Json& fields, const Json* ledger) {
+    const int kind = field<int>(fields, "kind");
+    if (kind != 0 && kind != 2 && kind != 3 && kind != 4) throw BadInput("unknown VIEW kind");
+    ListEvent event;
+    event.kind = kind == 0   ? ListKind::Cached
+                 : kind == 2 ? ListKind::Full
+                 : kind == 3 ? ListKind::Failed
+                             : ListKind::Changes;
+    if (event.kind == ListKind::Failed) return event;
+    if (ledger == nullptr) throw BadInput("VIEW names a slot without a LEDGER");
+    for (const Json& row : *ledger) {
+        ListEntry entry;
+        entry.endpoint = endpoint_of(field<std::string>(row, "target"));
+        entry.destination = static_cast<DestinationId>(value_or(row, "destination", 0.0));
+        if (const auto zone = value_or<std::string>(row, "az", ""); !zone.empty())
+            entry.zone = index_of(zones_, zone, "zone");
+        if (const auto kind_name = value_or<std::string>(row, "shape", ""); !kind_name.empty())
+            entry.kind = index_of(kinds_, kind_name, "kind");
+        entry.rate = value_or(row, "power_hint", 0.0);
+        const int condition = value_or(row, "condition", 0);
+        entry.condition = condition == 1   ? Condition::Ready
+                          : condition == 2 ? Condition::Draining
+                                           : Condition::Gone;
+        event.entries.push_back(entry);
+    }
+    return event;
+}
+
+MessageEvent Instance::message_of(const Json& fields) const {
+    MessageEvent event;
+    event.message = ticket_of(fields);
+    event.destination = static_cast<DestinationId>(field<double>(fields, "called_node"));
+    event.message_class = index_of(classes_, field<std::string>(fields, "category"), "class");
+    const Json tenant = value_or(fields, "project", Json());
+    if (tenant.is_string() && !tenants_.empty())
+        event.tenant = index_of(tenants_, tenant.get<std::string>(), "tenant");
+    if (const Json key = value_or(fields, "subject", Json()); !key.is_null())
+        event.key = key.get<std::uint64_t>();
+    event.left = from_ms(field<double>(fields, "patience_left_ms"));
+    return event;
+}
+
+std::optional<LoadReport> Instance::report_of(const Json& fields) const {
+    const auto found = fields.find("feedback");
+    if (found == fields.end() || !found->is_object()) return std::nullopt;
+    if (!found->contains("x0") && !found->contains("x1")) return std::nullopt;
+    return LoadReport{value_or(*found, "x0", 0.0), value_or(*found, "x1", 0.0)};
+}
+
+OutcomeEvent Instance::outcome_of(const Json& fields) {
+    OutcomeEvent event;
+    event.message = ticket_of(fields);
+    event.endpoint = endpoint_of(field<std::string>(fields, "target"));
+    event.attempt = value_or<std::uint32_t>(fields, "trial", 0);
+    event.outcome = outcome_code(fields);
+    event.terminal = value_or(fields, "terminal", false);
+    event.rtt = time_or(fields, "rtt_ms", Time(0));
+    if (event.outcome == Outcome::TurnedAway) event.wait = time_or(fields, "hold_ms", Time(0));
+    event.report = report_of(fields);
+    return event;
+}
+
+ProbeResult Instance::probe_of(const Json& fields) {
+    return {endpoint_of(field<std::string>(fields, "target")), outcome_code(fields),
+        time_or(fields, "rtt_ms", Time(0)), report_of(fields)};
+}
+
+void Instance::take(const std::string& name, const Json& fields, const Json* ledger, Time now) {
+    if (name == "VIEW") {
+        sender_->observe(list_of(fields, ledger), now);
+    } else if (name == "JOB_IN") {
+        sender_->observe(message_of(fields), now);
+    } else if (name == "FLOWING") {
+        sender_->observe(StreamStarted{ticket_of(fields), value_or<std::uint32_t>(fields, "trial", 0)}, now);
+    } else if (name == "REPORT_BACK") {
+        sender_->observe(outcome_of(fields), now);
+    } else if (name == "ABANDONED") {
+        sender_->observe(AbandonedEvent{ticket_of(fields)}, now);
+    } else if (name == "WAKE") {
+        sender_->observe(TimerFired{}, now);
+    } else if (name == "CHECK_RESULT") {
+        sender_->observe(probe_of(fields), now);
+    } else if (name == "DATAGRAM") {
+        sender_->observe(PeerNote{value_or<std::size_t>(fields, "src_peer", 0),
+                             from_base64(value_or<std::string>(fields, "content", ""))},
+            now);
+    } else {
+        throw BadInput("unknown event " + name);
+    }
+}
+
+Json Instance::json_of(const Action& action, std::int64_t who) const {
+    Json fields{{"who", who}};
+    const char* name = "";
+    if (const auto* send = std::get_if<Send>(&action)) {
+        name = "SEND";
+        fields["ticket"] = ticket_text(send->message);
+        fields["target"] = endpoint_names_.at(send->endpoint);
+        fields["allow_for_ms"] = to_ms(send->time_out);
+    } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+        name = "DROP_ATTEMPT";
+        fields["ticket"] = ticket_text(cancel->message);
+        fields["trial"] = cancel->attempt;
+    } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        name = "DENY";
+        fields["ticket"] = ticket_text(refuse->message);
+        fields["retry_after_ms"] = to_ms(refuse->retry_after);
+    } else if (const auto* fail = std::get_if<Fail>(&action)) {
+        name = "GIVE_UP";
+        fields["ticket"] = ticket_text(fail->message);
+    } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+        name = "WAKE_ME";
+        fields["sleep_for_ms"] = to_ms(timer->delay);
+        fields["tag"] = "next";
+    } else if (const auto* probe = std::get_if<Probe>(&action)) {
+        name = "POLL";
+        fields["target"] = endpoint_names_.at(probe->endpoint);
+    } else if (const auto* close = std::get_if<CloseIdle>(&action)) {
+        name = "CLOSE";
+        fields["target"] = endpoint_names_.at(close->endpoint);
+    } else if (const auto* tell = std::get_if<TellPeers>(&action)) {
+        name = "BROADCAST_TO";
+        fields["dest"] = tell->to ? static_cast<std::int64_t>(*tell->to) : -1;
+        fields["content"] = to_base64(tell->bytes);
+    } else if (const auto* watch = std::get_if<Watch>(&action)) {
+        name = "TAIL";
+        fields["on"] = watch->on;
+    } else if (std::holds_alternative<FetchList>(action)) {
+        name = "LOOKUP";
+    } else {
+        name = "DEBUG";
+        fields["body_text"] = std::get<Log>(action).text;
+    }
+    return Json{{name, std::move(fields)}};
+}
+
+void Instance::reply(std::int64_t who, Time now, std::ostream& out) {
+    for (const Action& action : sender_->decide(now)) out << json_of(action, who).dump() << '\n';
+}
+
+namespace {
+
+/// The batches of one process: its instances and numbered lists.
+class Host {
+public:
+    explicit Host(std::ostream& out) : out_(out) {}
+
+    void line(const std::string& text) {
+        const Json object = Json::parse(text);
+        if (!object.is_object() || object.size() != 1) throw BadInput("not an object with one key");
+        const std::string& name = object.begin().key();
+        const Json& fields = object.begin().value();
+        if (!fields.is_object()) throw BadInput(name + " is not an object");
+        if (name == "MARK") return begin(fields);
+        if (!inside_) throw BadInput(name + " outside a batch");
+        if (name == "OVER_TO_YOU") return finish();
+        if (name == "LEDGER") {
+            ledgers_[field<int>(fields, "slot")] = need(fields, "rows_in");
+            return;
+        }
+        event(name, fields);
+    }
+    bool inside() const { return inside_; }
+
+private:
+    void begin(const Json& fields) {
+        if (inside_) throw BadInput("MARK inside a batch");
+        now_ = from_ms(field<double>(fields, "time_ms"));
+        inside_ = true;
+        touched_.clear();
+        panics_.clear();
+    }
+    void event(const std::string& name, const Json& fields) {
+        const auto who = field<std::int64_t>(fields, "who");
+        if (name == "PROVISION") {
+            guarded(who, [&] {
+                instances_.insert_or_assign(
+                    who, Instance(need(fields, "params"), value_or<std::uint64_t>(fields, "salt", 0)));
+            });
+            touched_.insert(who);
+            return;
+        }
+        const auto found = instances_.find(who);
+        if (found == instances_.end()) {
+            if (panics_.contains(who)) return;
+            throw BadInput("unknown instance " + std::to_string(who));
+        }
+        if (name == "DESTROY") {
+            instances_.erase(found);
+            touched_.erase(who);
+            return;
+        }
+        const auto ledger = name == "VIEW" ? ledgers_.find(value_or(fields, "slot", 0)) : ledgers_.end();
+        guarded(who, [&] {
+            found->second.take(name, fields, ledger == ledgers_.end() ? nullptr : &ledger->second, now_);
+        });
+        touched_.insert(who);
+    }
+    /// A failure of the module becomes PANIC in the reply; input that is not the wire stays an error.
+    template <class Work>
+    void guarded(std::int64_t who, Work work) {
+        try {
+            work();
+        } catch (const BadInput&) {
+            throw;
+        } catch (const Json::exception&) {
+            throw;
+        } catch (const std::exception& failure) {
+            panics_.emplace(who, failure.what());
+        }
+    }
+    void finish() {
+        for (const std::int64_t who : touched_)
+            if (const auto found = instances_.find(who); found != instances_.end())
+                guarded(who, [&] { found->second.reply(who, now_, out_); });
+        for (const auto& [who, text] : panics_)
+            out_ << Json{{"PANIC", {{"who", who}, {"body_text", text}}}}.dump() << '\n';
+        out_ << "{\"ACK\":{}}\n" << std::flush;
+        inside_ = false;
+    }
+
+    std::ostream& out_;
+    std::map<std::int64_t, Instance> instances_;
+    std::map<int, Json> ledgers_;
+    std::set<std::int64_t> touched_;
+    std::map<std::int64_t, std::string> panics_;
+    Time now_{0};
+    bool inside_ = false;
+};
+
+}  // namespace
+
+int run(std::istream& in, std::ostream& out, std::ostream& err) {
+    Host host(out);
+    std::string text;
+    std::size_t number = 0;
+    try {
+        while (std::getline(in, text)) {
+            ++number;
+            if (!text.empty()) host.line(text);
+        }
+        if (host.inside()) throw BadInput("the input ends inside a batch");
+    } catch (const std::exception& failure) {
+        std::string what = failure.what();
+        for (char& letter : what)
+            if (letter == '\n') letter = ' ';
+        err << "cometspoke_drill: input line " << number << ": " << what << std::endl;
+        return 1;
+    }
+    return 0;
+}
+
+}  // namespace cometspoke::wire
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,586 @@
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+
+#include "helpers.hpp"
+
+namespace cometspoke::testing {
+namespace {
+
+using Ids = std::vector<MessageId>;
+
+// ---- tags ----
+
+// One slot, weights 1 and 0.5, a call every 0.7 s. By hand, in seconds from the start: both level at -2;
+// serving 1 gives P1 = max(P1 + 1, now - 1), serving 2 gives P2 = max(P2 + 2, now - 2). That is 1 (P1 -1), 2
+// (P2 0), 1 (0.4), 2 (2), 1 (1.8), 1 (2.8), 2 (4), 1 (3.9), 1 (4.9); the L tags are due each time.
+TEST(Tags, ShareFollowsListedRates) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    settings.listed_rates = true;
+    Rig rig(settings);
+    rig.list(0, 1, 0, 1.0);
+    rig.list(1, 2, 0, 0.5);
+    for (MessageId id = 1; id <= 9; ++id) rig.arrive(id, 1);
+    for (MessageId id = 11; id <= 19; ++id) rig.arrive(id, 2);
+    Ids order;
+    for (int i = 0; i < 9; ++i) {
+        const auto out = rig.sends();
+        ASSERT_EQ(out.size(), 1u);
+        order.push_back(out[0].message < 10 ? 1 : 2);
+        rig.now += ms(700);
+        rig.outcome(out[0], Outcome::Served, 0, Time(0), ms(700));
+    }
+    EXPECT_EQ(order, (Ids{1, 2, 1, 2, 1, 1, 2, 1, 1}));
+}
+
+// Before any refusal l is the whole listed rate: by hand L = now, now+1/l, ... from the arrival on.
+TEST(Tags, LimitSpacesSends) {
+    Settings settings = make_settings();
+    settings.listed_rates = true;
+    settings.n_instances = 7;
+    Rig rig(settings);
+    rig.list(0, 1, 0, 1.4);
+    for (MessageId id = 1; id <= 4; ++id) rig.arrive(id, 1);
+    EXPECT_EQ(rig.sent(), Ids{1});
+    const Time start = rig.now;
+    const auto later = rig.pass(ms(1600), ms(1));
+    ASSERT_EQ(later.size(), 2u);
+    const Time first_gap = later[0].first - start;
+    EXPECT_LE(later[1].first - later[0].first, first_gap);
+    EXPECT_GE(later[1].first - later[0].first, first_gap - ms(1));  // the clock is read once a millisecond
+    EXPECT_GT(first_gap, ms(500));
+    EXPECT_LT(first_gap, ms(1000));
+}
+
+// By hand, in seconds from the start, r = 1, weights 1000 and 2, 0.3 s a call. R1 = R2 = 0: 1 goes, R1 = 1;
+// then 2 by its R tag although P1 = -0.001 is far behind in share terms (R2 = 1.3, P2 = 0); then shares: 1 at
+// 0.6 (P1 = 0.599, and R1 stays 1), 2 at 0.9 (P2 = 0 is the smaller, R2 stays 1.3); then R1 = 1 is due
+// at 1.2.
+TEST(Tags, ReservationPhaseGoesFirst) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    settings.floor_per_s = 1.0;
+    settings.listed_rates = true;
+    settings.n_instances = 1;
+    Rig rig(settings);
+    rig.list(0, 1, 0, 1000.0);
+    rig.list(1, 2, 0, 2.0);
+    for (MessageId id = 1; id <= 8; ++id) rig.arrive(id, 1);
+    for (MessageId id = 11; id <= 14; ++id) rig.arrive(id, 2);
+    Ids order;
+    for (int i = 0; i < 12; ++i) {
+        const auto out = rig.sends();
+        if (out.empty()) {
+            rig.now += ms(300);
+            continue;
+        }
+        order.push_back(out[0].message);
+        rig.now += ms(300);
+        rig.outcome(out[0], Outcome::Served);
+    }
+    ASSERT_GE(order.size(), 5u);
+    order.resize(5);
+    EXPECT_EQ(order, (Ids{1, 11, 2, 12, 3}));
+}
+
+TEST(Tags, ArrivalOrderWithinDestination) {
+    Rig rig;
+    rig.list(0, 1);
+    for (MessageId id = 5; id > 0; --id) rig.arrive(id, 1);
+    EXPECT_EQ(rig.sent(), (Ids{5, 4, 3, 2, 1}));
+}
+
+// A newcomer after long idleness starts level and does not burst ahead of the one that was busy.
+TEST(Tags, ReactivationStartsLevel) {
+    Settings settings = make_settings();
+    settings.slots = 2;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.list(1, 2);
+    for (MessageId id = 1; id <= 20; ++id) rig.arrive(id, 1);
+    auto out = rig.sends();
+    for (int i = 0; i < 5; ++i) {
+        rig.now += ms(1000);
+        rig.outcome(out[0], Outcome::Served);
+        out = rig.sends();
+        ASSERT_EQ(out.size(), 1u);
+    }
+    for (MessageId id = 101; id <= 110; ++id) rig.arrive(id, 2);
+    out = {out[0]};
+    const auto second = rig.sends();
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_EQ(second[0].message, 101u);
+    int newcomer = 0;
+    std::vector<Send> busy{out[0], second[0]};
+    for (int i = 0; i < 8; ++i) {
+        rig.now += ms(1000);
+        rig.outcome(busy[0], Outcome::Served);
+        busy.erase(busy.begin());
+        const auto next = rig.sends();
+        ASSERT_EQ(next.size(), 1u);
+        newcomer += next[0].message > 100;
+        busy.push_back(next[0]);
+    }
+    EXPECT_EQ(newcomer, 4);
+}
+
+// l = 1, so L = 1 after the first send. The stall ends at 5 with both L tags behind: the head may go, and for
+// L = max(2, 5) = 5 the next at once, then L = 6; the rest of the backlog is not released.
+TEST(Tags, AfterAStallTheBacklogIsNotReleasedAtOnce) {
+    Settings settings = make_settings();
+    settings.listed_rates = true;
+    settings.n_instances = 7;
+    Rig rig(settings);
+    rig.list(0, 1, 0, 1.0);
+    for (MessageId id = 1; id <= 5; ++id) rig.arrive(id, 1);
+    const auto first = rig.sends();
+    EXPECT_EQ(first.size(), 1u);
+    rig.now += ms(5000);
+    rig.outcome(first[0], Outcome::Served);
+    const auto burst = rig.sends();
+    ASSERT_EQ(burst.size(), 2u);
+    for (const Send& send : burst) rig.outcome(send, Outcome::Served);
+    EXPECT_TRUE(rig.pass(ms(980)).empty());
+    EXPECT_EQ(rig.pass(ms(40)).size(), 1u);
+}
+
+// Weak spot: repeats of an erroring destination must not take the turns of the others.
+TEST(Tags, RepeatsLeaveTheTurnsToOthers) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.list(1, 2);
+    for (MessageId id = 1; id <= 9; ++id) rig.arrive(id, 1);
+    for (MessageId id = 11; id <= 19; ++id) rig.arrive(id, 2);
+    std::map<MessageId, std::uint32_t> tries;
+    int failing = 0, healthy = 0;
+    for (int i = 0; i < 400 && healthy < 9; ++i, rig.now += ms(10)) {
+        for (const Send& send : rig.sends()) {
+            const bool bad = send.message < 10;
+            (bad ? failing : healthy)++;
+            rig.outcome(
+                send, bad ? Outcome::ServerError : Outcome::Served, tries[send.message]++, Time(0), ms(10));
+        }
+    }
+    EXPECT_EQ(healthy, 9);
+    EXPECT_LE(failing, 4);
+}
+
+TEST(Cap, UnderThreeQuartersOfTheSlots) {
+    Rig rig;  // 8 slots: five calls stay under 3/4, six would not
+    rig.list(0, 1);
+    for (MessageId id = 1; id <= 8; ++id) rig.arrive(id, 1);
+    EXPECT_EQ(rig.sent().size(), 5u);
+}
+
+TEST(Cap, SickDestinationsTogetherHoldHalf) {
+    Rig rig;
+    for (EndpointId id = 0; id < 6; ++id) rig.list(id, id);
+    MessageId next = 1;
+    for (int i = 0; i < 6; ++i) rig.arrive(next++, i);
+    EXPECT_EQ(rig.sends().size(), 6u);
+    const auto trials =
+        rig.pass(ms(8000));  // all silent: sick; the held messages may use half of the slots at most
+    for (int i = 0; i < 6; ++i) rig.arrive(next++, i);
+    EXPECT_TRUE(trials.empty());
+    EXPECT_TRUE(rig.sends().empty());
+    rig.list(9, 9);
+    rig.arrive(99, 9);
+    EXPECT_EQ(rig.sent(), Ids{99});
+}
+
+// ---- rules ----
+
+TEST(Answers, EndsAtTheDeadlineHeldOrOut) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kFragile, std::nullopt, ms(500));
+    rig.arrive(2, 7, kRetryable, std::nullopt, ms(500));  // no endpoint
+    EXPECT_EQ(rig.sent(), Ids{1});
+    rig.now += ms(499);
+    EXPECT_TRUE(all<Fail>(rig.decide()).empty());
+    rig.now += ms(1);
+    EXPECT_EQ(all<Fail>(rig.decide()).size(), 2u);
+}
+
+TEST(Answers, AsksForATimerAtTheDeadline) {
+    Rig rig;
+    rig.arrive(1, 7, kRetryable, std::nullopt, ms(500));
+    const auto timers = all<SetTimer>(rig.decide());
+    ASSERT_EQ(timers.size(), 1u);
+    EXPECT_EQ(timers[0].delay, ms(500));
+}
+
+TEST(Effects, FragileEndsAfterDoubtWithAFailure) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kFragile);
+    const auto out = rig.sends();
+    rig.now += ms(100);
+    rig.outcome(out[0], Outcome::ServerError);
+    const auto actions = rig.decide();
+    EXPECT_EQ(all<Fail>(actions).size(), 1u);
+    EXPECT_TRUE(all<Refuse>(actions).empty());
+}
+
+TEST(Effects, FragileGoesAgainAfterProvenNotRun) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kFragile);
+    const auto out = rig.sends();
+    rig.now += ms(100);
+    rig.outcome(out[0], Outcome::TurnedAway);
+    EXPECT_EQ(rig.pass(ms(500)).size(), 1u);
+}
+
+TEST(Effects, DedupOnlyInsideItsWindowFromTheSend) {
+    for (const bool inside : {true, false}) {
+        Rig rig;
+        rig.list(0, 1);
+        rig.list(1, 1);
+        rig.arrive(1, 1, kDedup);
+        const auto out = rig.sends();
+        rig.now += inside ? ms(4700) : ms(4950);
+        rig.outcome(out[0], Outcome::ConnectionLost);
+        int sends = 0, ends = 0;
+        for (int i = 0; i < 30; ++i, rig.now += ms(10)) {
+            const auto actions = rig.decide();
+            sends += static_cast<int>(all<Send>(actions).size());
+            ends += static_cast<int>(all<Refuse>(actions).size() + all<Fail>(actions).size());
+        }
+        EXPECT_EQ(sends, inside ? 1 : 0);
+        EXPECT_EQ(ends, inside ? 0 : 1);
+    }
+}
+
+TEST(Effects, DedupZoneScopeStaysInItsZone) {
+    Settings settings = make_settings();
+    settings.classes[kDedup].dedup_scope = DedupScope::Zone;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.arrive(1, 1, kDedup);
+    const auto out = rig.sends();
+    rig.list(1, 1, 0, 0.0, Condition::Ready, 1);
+    rig.list(0, 1, 0, 0.0, Condition::Gone);
+    rig.now += ms(100);
+    rig.outcome(out[0], Outcome::ServerError);
+    EXPECT_TRUE(rig.pass(ms(3000)).empty());
+}
+
+TEST(Effects, StopsAtMaxAttempts) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1);
+    std::uint32_t attempt = 0;
+    int ends = 0;
+    for (int i = 0; i < 1500 && ends == 0; ++i, rig.now += ms(10)) {
+        const auto actions = rig.decide();
+        for (const Send& send : all<Send>(actions)) rig.outcome(send, Outcome::ServerError, attempt++);
+        ends += static_cast<int>(all<Refuse>(actions).size() + all<Fail>(actions).size());
+    }
+    EXPECT_EQ(attempt, 4u);
+    EXPECT_EQ(ends, 1);
+}
+
+TEST(Drains, NothingToDrainingOrGone) {
+    for (const Condition condition : {Condition::Draining, Condition::Gone}) {
+        Rig rig;
+        rig.list(0, 1);
+        rig.list(0, 1, 0, 0.0, condition);
+        rig.arrive(1, 1);
+        EXPECT_TRUE(rig.sends().empty());
+        rig.list(1, 1);
+        EXPECT_EQ(rig.sent(), Ids{1});
+    }
+}
+
+TEST(Drains, AWholeListReplacesTheOldOne) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.sender.observe(ListEvent{ListKind::Full, {{1, 2, 0, 0, 0.0, Condition::Ready}}}, rig.now);
+    rig.arrive(1, 1);
+    rig.arrive(2, 2);
+    EXPECT_EQ(rig.sent(), Ids{2});
+}
+
+TEST(Waits, ToldWaitIsKeptForTheWholeDestination) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.list(1, 1);
+    rig.arrive(1, 1);
+    const auto out = rig.sends();
+    rig.outcome(out[0], Outcome::TurnedAway, 0, ms(700));
+    rig.arrive(2, 1);
+    EXPECT_TRUE(rig.pass(ms(690)).empty());
+    EXPECT_EQ(rig.pass(ms(300)).size(), 2u);
+}
+
+TEST(Waits, OfARouteApartBindsThatRouteOnly) {
+    Rig rig;
+    rig.list(0, 1, 1);
+    rig.list(1, 1, 1);
+    rig.arrive(1, 1);
+    const auto out = rig.sends();
+    rig.outcome(out[0], Outcome::TurnedAway, 0, ms(700));
+    rig.arrive(2, 1);
+    const auto next = rig.sends();
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_NE(next[0].endpoint, out[0].endpoint);
+}
+
+// Found on the standard days: each message of one call may be told its own wait, the longest binds.
+TEST(Waits, EveryMessageOfACallIsHeard) {
+    Rig rig;
+    rig.list(0, 1, 2);
+    for (MessageId id = 1; id <= 3; ++id) rig.arrive(id, 1);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 3u);
+    rig.outcome(out[0], Outcome::TurnedAway, 0, ms(300));
+    rig.outcome(out[1], Outcome::TurnedAway, 0, ms(600));
+    rig.outcome(out[2], Outcome::TurnedAway, 0, ms(400));
+    EXPECT_TRUE(rig.pass(ms(590)).empty());
+    EXPECT_FALSE(rig.pass(ms(200)).empty());
+}
+
+TEST(Order, OneAtATimeInArrivalOrder) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kSequential, 42);
+    rig.arrive(2, 1, kSequential, 42);
+    rig.arrive(3, 1, kSequential, 43);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 2u);
+    EXPECT_EQ(out[0].message, 1u);
+    EXPECT_EQ(out[1].message, 3u);
+    rig.outcome(out[0], Outcome::Served);
+    EXPECT_EQ(rig.sent(), Ids{2});
+}
+
+TEST(Order, RestsAfterADoubtfulEnd) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kSequential, 42, ms(1000));
+    rig.arrive(2, 1, kSequential, 42);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 1u);
+    rig.now += ms(1000);
+    EXPECT_TRUE(rig.sends().empty());  // the first is given up, its attempt has no outcome yet
+    rig.outcome(out[0], Outcome::NoAnswer);
+    EXPECT_TRUE(rig.pass(ms(290)).empty());
+    EXPECT_EQ(rig.pass(ms(3000)).size(), 1u);
+}
+
+// After an outage the sends of any window stay within multiple x present capacity x window x the own part.
+TEST(FailBack, SendsStayWithinTheBudget) {
+    Settings settings = make_settings();
+    settings.listed_rates = true;
+    settings.n_instances = 2;
+    Rig rig(settings);
+    rig.list(0, 1, 0, 20.0);
+    MessageId next = 1;
+    for (int i = 0; i < 60; ++i) rig.arrive(next++, 1);
+    std::vector<Time> sent;
+    std::map<MessageId, std::uint32_t> tries;
+    const Time back = rig.now + ms(5000);
+    while (rig.now < back + ms(8000)) {
+        rig.now += ms(10);
+        for (const Send& send : rig.sends()) {
+            if (rig.now >= back) sent.push_back(rig.now);
+            rig.outcome(send, rig.now < back ? Outcome::ConnectionLost : Outcome::Served,
+                tries[send.message]++, Time(0), ms(10));
+            rig.arrive(next++, 1);
+        }
+    }
+    ASSERT_GT(sent.size(), 5u);
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        const auto in_window = std::count_if(
+            sent.begin(), sent.end(), [&](Time at) { return at >= sent[i] && at < sent[i] + settings.fall; });
+        const double warm =
+            std::min(1.0, 0.2 + 0.8 * static_cast<double>((sent[i] - back + ms(2000)).count()) / 1e7);
+        EXPECT_LE(static_cast<double>(in_window), 2.0 * warm * 20.0 * 2.0 / 2.0 + 1.0);
+    }
+}
+
+// ---- health and overload ----
+
+TEST(Health, SilenceShowsBeforeAnyTimeOut) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1);
+    auto out = rig.sends();
+    rig.now += ms(100);
+    rig.outcome(out[0], Outcome::Served);
+    rig.arrive(2, 1);
+    EXPECT_EQ(rig.sends().size(), 1u);
+    rig.pass(ms(800));  // eight usual times without an answer
+    rig.arrive(3, 1, kFragile);
+    EXPECT_TRUE(rig.sends().empty());
+}
+
+// Incident i02431b: a destination that is down must not fill the room of the others.
+TEST(Overload, ShedsForTheDestinationThatIsDown) {
+    Settings settings = make_settings();
+    settings.most_held = 20;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.list(1, 2);
+    MessageId next = 1;
+    for (int i = 0; i < 3; ++i) {
+        rig.arrive(next++, 1);
+        for (const Send& send : rig.sends()) rig.outcome(send, Outcome::NoConnection);
+        rig.now += ms(100);
+        rig.decide();
+    }
+    for (int i = 0; i < 12; ++i) rig.arrive(next++, 1);
+    rig.decide();
+    rig.now += ms(3000);
+    std::vector<MessageId> refused;
+    for (MessageId id = 100; id < 112; ++id) {
+        rig.arrive(id, 2);
+        for (const Refuse& refuse : all<Refuse>(rig.decide())) refused.push_back(refuse.message);
+    }
+    EXPECT_FALSE(refused.empty());
+    for (const MessageId id : refused) EXPECT_LT(id, 100u);
+}
+
+// Incident ife484d: a call that is only slow is left out while nothing better can be done.
+TEST(TimeOuts, ASlowCallIsNotRepeatedWithoutReason) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 1u);
+    EXPECT_EQ(out[0].time_out, ms(20000));
+    for (int i = 0; i < 100; ++i, rig.now += ms(100)) EXPECT_TRUE(all<CancelAttempt>(rig.decide()).empty());
+}
+
+// Incident i94fd2c: while the backlog outlasts an aim, what loses most by waiting goes before what keeps its
+// worth.
+TEST(Overload, WorthBeforeOrderOnlyWhileTheBacklogOutlastsAnAim) {
+    for (const bool backlog : {false, true}) {
+        Settings settings = make_settings();
+        settings.slots = 2;
+        settings.loses_worth = LateWorth::Halving;
+        settings.classes[kDedup].late_worth = 1.0;  // keeps all its worth
+        Rig rig(settings);
+        rig.list(0, 1);
+        for (MessageId id = 1; id <= 3; ++id) {  // two a second
+            rig.arrive(id, 1);
+            const auto out = rig.sends();
+            ASSERT_EQ(out.size(), 1u);
+            rig.now += ms(500);
+            rig.outcome(out[0], Outcome::Served, 0, Time(0), ms(500));
+        }
+        for (MessageId id = 4; id < (backlog ? 12u : 5u); ++id) rig.arrive(id, 1, kDedup);
+        rig.arrive(50, 1, kRetryable);
+        EXPECT_EQ(rig.sent(), (Ids{backlog ? MessageId{50} : MessageId{4}}));
+    }
+}
+
+// One call to each of so many destinations, none answered for six seconds: how many are dropped.
+std::size_t dropped_when_silent(std::size_t destinations, std::size_t message_class) {
+    Rig rig;  // 8 slots
+    for (EndpointId id = 0; id < destinations; ++id) {
+        rig.list(id, id);
+        rig.arrive(id + 1, id, message_class);
+    }
+    EXPECT_EQ(rig.sends().size(), destinations);
+    std::size_t dropped = 0;
+    for (int i = 0; i < 60; ++i, rig.now += ms(100)) dropped += all<CancelAttempt>(rig.decide()).size();
+    return dropped;
+}
+
+// Incident i0760ea: calls that nobody answers must not hold the half of the slots that the sick may use.
+TEST(TimeOuts, StuckCallsGoWhenTheSickHaveUsedUpTheirHalf) {
+    EXPECT_EQ(dropped_when_silent(4, kRetryable), 4u);
+}
+
+// Incident ib08f9d: after a stall of all, calls that may not be repeated must not hold the slots to the end.
+TEST(TimeOuts, SilentFragileCallsGoWhenTheSlotsAreJammed) { EXPECT_EQ(dropped_when_silent(7, kFragile), 7u); }
+
+// Incident ib08f9d: stuck calls fill the half of the sick; another sick destination still gets a trial.
+TEST(Cap, ASickDestinationWithNothingOutGetsATrial) {
+    Rig rig;  // 8 slots
+    for (EndpointId id = 0; id < 5; ++id) rig.list(id, id);
+    for (MessageId id = 1; id <= 4; ++id) rig.arrive(id, static_cast<DestinationId>(id - 1), kFragile);
+    rig.arrive(5, 4);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 5u);
+    rig.pass(ms(3500));
+    rig.outcome(out[4], Outcome::ConnectionLost);
+    EXPECT_EQ(rig.pass(ms(2500)).size(), 1u);
+}
+
+// Incident i94fd2c: refusals of calls sent together are one piece of news, not a shut destination.
+TEST(Health, RefusalsOfCallsSentTogetherAreOnePieceOfNews) {
+    Rig rig;
+    rig.list(0, 1);
+    for (MessageId id = 1; id <= 4; ++id) rig.arrive(id, 1, kFragile);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 4u);
+    rig.now += ms(50);
+    for (const Send& send : out) rig.outcome(send, Outcome::TurnedAway);
+    EXPECT_GE(rig.pass(ms(1500)).size(), 2u);  // not sick: fragile messages go, at the pace refusals taught
+}
+
+TEST(List, WatchIsAskedAgainAfterAFailure) {
+    Settings settings = make_settings();
+    settings.must_subscribe = true;
+    Rig rig(settings);
+    EXPECT_EQ(all<Watch>(rig.decide()).size(), 1u);
+    EXPECT_TRUE(all<Watch>(rig.decide()).empty());
+    rig.sender.observe(ListEvent{ListKind::Failed, {}}, rig.now);
+    EXPECT_TRUE(all<Watch>(rig.decide()).empty());
+    rig.now += ms(600);
+    EXPECT_EQ(all<Watch>(rig.decide()).size(), 1u);
+}
+
+TEST(Batches, OneCallOneSlot) {
+    Settings settings = make_settings();
+    settings.slots = 2;
+    Rig rig(settings);
+    rig.list(0, 1, 2);
+    for (MessageId id = 1; id <= 6; ++id) rig.arrive(id, 1);
+    EXPECT_EQ(rig.sent(), (Ids{1, 2, 3, 4}));
+}
+
+TEST(Interface, BadSettingsThrowNamingTheSetting) {
+    Settings settings = make_settings();
+    settings.slots = 0;
+    try {
+        Sender sender(settings, 1);
+        FAIL();
+    } catch (const std::invalid_argument& error) {
+        EXPECT_NE(std::string(error.what()).find("slots"), std::string::npos);
+    }
+    settings = make_settings();
+    settings.warm_within = ms(-1);
+    EXPECT_THROW(Sender(settings, 1), std::invalid_argument);
+    Rig rig;
+    EXPECT_THROW(rig.arrive(1, 1, 99), std::invalid_argument);
+}
+
+// A list event with one bad entry changes nothing: the endpoints before it are not taken over either.
+TEST(Interface, ABadListEventIsRefusedWhole) {
+    Rig rig;
+    ListEvent event;
+    event.kind = ListKind::Full;
+    event.entries = {{0, 1, 0, 0, 0.0, Condition::Ready}, {1, 1, 0, 99, 0.0, Condition::Ready}};
+    EXPECT_THROW(rig.sender.observe(event, rig.now), std::invalid_argument);
+    event.entries = {{0, 1, 0, 0, 0.0, Condition::Ready}, {1, 1, 9, 0, 0.0, Condition::Ready}};
+    EXPECT_THROW(rig.sender.observe(event, rig.now), std::invalid_argument);
+    rig.arrive(1, 1);
+    EXPECT_TRUE(rig.sends().empty());
+}
+
+TEST(Interface, UnknownMessagesArePassedOver) {
+    Rig rig;
+    rig.sender.observe(AbandonedEvent{77}, rig.now);
+    rig.outcome(Send{77, 0, Time(0)}, Outcome::Served);
+    EXPECT_TRUE(all<Send>(rig.decide()).empty());
+}
+
+}  // namespace
+}  // namespace cometspoke::testing
