The forwarder round the module: one process on real sockets

src/settings.*, shared by adapter and forwarder. MessageEvent now carries the attempts and the doubt of a message taken on before a restart.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -99,7 +99,15 @@
     std::size_t message_class = 0;
     std::optional<std::size_t> tenant;
     std::optional<std::uint64_t> key;
-    Time left{0};  ///< time until the message is given up
+    Time left{0};  ///< time until the message is given up; not above 0: it is overdue
+    /// For a message that was taken on before a restart: attempts begun so far, and the first of them that
+    /// may have run, if any.
+    std::uint32_t attempts = 0;
+    struct Doubt {
+        Time age{0};                           ///< since its sending
+        std::optional<EndpointId> endpoint{};  ///< where it went, if that is still known
+    };
+    std::optional<Doubt> doubt{};
 };
 /// The response of a streamed message has begun: the attempt belongs to the client from here on.
 struct StreamStarted {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -133,7 +133,7 @@
     std::uint32_t attempts = 0;
     int out = 0;
     std::optional<Time> doubt_since;  // sending of the first attempt that may have run
-    EndpointId doubt_at = 0;
+    std::optional<EndpointId> doubt_at;
 };
 
 struct Call {
@@ -226,6 +226,11 @@
         message.born = now + event.left - kind.deadline;
         message.deadline = now + event.left;
         message.over_share = event.tenant && over_quota(*event.tenant, now);
+        message.attempts = event.attempts;  // a restart changes nothing in what may have run
+        if (event.doubt) {
+            message.doubt_since = now - event.doubt->age;
+            message.doubt_at = event.doubt->endpoint;
+        }
         if (kind.sequential && event.key) {
             message.key = event.key;
             keys_[*event.key].turn.push_back(event.message);
@@ -494,9 +499,9 @@
             return false;
         if (kind.effect != Effect::Dedup || !message.doubt_since || kind.dedup_scope == DedupScope::All)
             return true;
-        if (kind.dedup_scope == DedupScope::Zone)
-            return endpoints_.at(message.doubt_at).zone == endpoint.zone;
-        return message.doubt_at == to;
+        if (kind.dedup_scope == DedupScope::Endpoint) return message.doubt_at == to;
+        const auto first = message.doubt_at ? endpoints_.find(*message.doubt_at) : endpoints_.end();
+        return first != endpoints_.end() && first->second.zone == endpoint.zone;
     }
 
     // Calls that can be dropped later, and those that may not be repeated, are waited for to the end.
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,101 @@
+#include "config.hpp"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+
+namespace lockgw {
+namespace {
+
+using cometspoke::settings::BadInput;
+using cometspoke::settings::field;
+using cometspoke::settings::need;
+using cometspoke::settings::value_or;
+
+template <class Endpoint>
+Endpoint endpoint_of(const std::string& text, const char* what) {
+    const auto colon = text.rfind(':');
+    std::uint16_t port = 0;
+    boost::system::error_code bad;
+    if (colon == std::string::npos) throw BadInput(std::string(what) + " is not host:port: " + text);
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    const auto address = asio::ip::make_address(text.substr(0, colon), bad);
+    if (bad || parsed.ec != std::errc() || parsed.ptr != end)
+        throw BadInput(std::string(what) + " is not host:port: " + text);
+    return Endpoint(address, port);
+}
+
+std::uint64_t seed_of(const std::string& text) {
+    std::uint64_t seed = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, seed, 16);
+    if (parsed.ec != std::errc() || parsed.ptr != end) throw BadInput("seed is not a hex number: " + text);
+    return seed;
+}
+
+void read_limits(const Json& limits, Config& config) {
+    const auto sockets = field<std::int64_t>(limits, "sockets");
+    const auto disk_mb = field<double>(limits, "disk_mb");
+    if (sockets < 64) throw BadInput("limits.sockets is under 64");
+    if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadInput("limits.disk_mb makes no sense");
+    config.sockets = static_cast<std::size_t>(sockets);
+    config.disk_bytes = static_cast<std::size_t>(disk_mb * 1024 * 1024);
+}
+
+void read_peers(const Json& file, Config& config) {
+    if (const auto listen = value_or<std::string>(file, "peer_listen", ""); !listen.empty())
+        config.peer_listen = udp_endpoint(listen, "peer_listen");
+    if (const auto all = value_or<std::string>(file, "peers_all", ""); !all.empty())
+        config.peers_all = udp_endpoint(all, "peers_all");
+    for (const Json& peer : value_or(file, "peers", Json::array()))
+        config.peers.push_back(udp_endpoint(peer.get<std::string>(), "peers"));
+}
+
+std::string environment(const char* name) {
+    const char* value = std::getenv(name);
+    if (value == nullptr || *value == '\0') throw BadInput(std::string(name) + " is not set");
+    return value;
+}
+
+}  // namespace
+
+Tcp::endpoint tcp_endpoint(const std::string& text, const char* what) {
+    return endpoint_of<Tcp::endpoint>(text, what);
+}
+Udp::endpoint udp_endpoint(const std::string& text, const char* what) {
+    return endpoint_of<Udp::endpoint>(text, what);
+}
+
+Config read_config(const Json& file) {
+    Config config;
+    config.name = value_or<std::string>(file, "name", "");
+    config.listen = tcp_endpoint(field<std::string>(file, "listen"), "listen");
+    config.discovery = tcp_endpoint(field<std::string>(file, "discovery"), "discovery");
+    config.seed = seed_of(field<std::string>(file, "seed"));
+    read_limits(need(file, "limits"), config);
+    read_peers(file, config);
+    config.known = value_or(file, "known", Json::object());
+    const Json& params = need(file, "settings");
+    config.names = cometspoke::settings::names_of(params);
+    config.settings = cometspoke::settings::settings_of(params, config.names);
+    const auto timeout_ms = value_or(need(params, "limits"), "connect_timeout_ms", 1000.0);
+    if (!(timeout_ms > 0 && timeout_ms < 1e6)) throw BadInput("limits.connect_timeout_ms makes no sense");
+    config.connect_timeout = std::chrono::milliseconds(static_cast<std::int64_t>(timeout_ms));
+    config.reports =
+        value_or<std::string>(value_or(params, "report", Json::object()), "source", "off") == "inline";
+    return config;
+}
+
+Config config_of_environment() {
+    const std::string path = environment("NODE_CONFIG");
+    std::ifstream stream(path);
+    if (!stream) throw BadInput("NODE_CONFIG cannot be read: " + path);
+    const Json file = Json::parse(stream);
+    if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
+    Config config = read_config(file);
+    config.state = environment("NODE_STATE");
+    return config;
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,46 @@
+/// What a forwarder is told at its start: the environment, and the file that NODE_CONFIG names.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "settings.hpp"
+
+namespace lockgw {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+
+struct Config {
+    std::string name;
+    Tcp::endpoint listen, discovery;
+    std::filesystem::path state;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;  ///< most descriptors of the process
+    std::size_t disk_bytes = 0;  ///< room in `state`
+    std::optional<Udp::endpoint> peer_listen, peers_all;
+    std::vector<Udp::endpoint> peers;  ///< by their numbers, its own among them
+    Json known;                        ///< the list of targets as last had, in discovery's form
+    cometspoke::settings::Names names;
+    cometspoke::Settings settings;
+    std::chrono::milliseconds connect_timeout{1000};
+    bool reports = false;  ///< answers may carry load reports
+};
+
+/// "host:port" with a numeric address; throws BadInput naming `what`.
+Tcp::endpoint tcp_endpoint(const std::string& text, const char* what);
+Udp::endpoint udp_endpoint(const std::string& text, const char* what);
+
+/// Throws std::exception with one plain line where something is missing or makes no sense.
+Config read_config(const Json& file);
+Config config_of_environment();
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/forwarder.hpp
@@ -0,0 +1,74 @@
+/// What happens on the sockets as the module's events, and the module's actions carried out. No decisions.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "clients.hpp"
+#include "config.hpp"
+#include "discovery.hpp"
+#include "journal.hpp"
+#include "peers.hpp"
+#include "targets.hpp"
+
+namespace lockgw {
+
+class Forwarder {
+public:
+    /// Takes up what the journal holds. Throws where the folder or an address cannot be used.
+    Forwarder(asio::io_context& io, Config config);
+
+    void start();
+    /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
+    void drain();
+
+private:
+    struct Newcomer {
+        Message message;
+        Clients::Answer answer;
+    };
+
+    void take_up();
+    void list(const TargetList& list, cometspoke::ListKind kind);
+    void enqueue(Message message, cometspoke::Time left, Clients::Answer answer);
+    void outcome(const cometspoke::OutcomeEvent& event);
+    void observe(const cometspoke::Event& event);
+    void turn();
+    void answer_newcomers(const std::vector<cometspoke::Action>& actions);
+    std::string answer_for(const Newcomer& newcomer, const std::vector<cometspoke::Action>& actions);
+    void stop_if_done();
+
+    void carry_out(const cometspoke::Send& send);
+    void carry_out(const cometspoke::CancelAttempt& cancel);
+    void carry_out(const cometspoke::Refuse& refuse);
+    void carry_out(const cometspoke::Fail& fail);
+    void carry_out(const cometspoke::SetTimer& timer);
+    void carry_out(const cometspoke::CloseIdle& close);
+    void carry_out(const cometspoke::TellPeers& tell);
+    void carry_out(const cometspoke::Log& log);
+    void carry_out(const cometspoke::Probe&) {}      // not allowed on sockets
+    void carry_out(const cometspoke::Watch&) {}      // discovery is always watched
+    void carry_out(const cometspoke::FetchList&) {}  // and its whole list asked for first
+    void end(MessageId id, const Notice& notice);
+
+    EndpointId endpoint_of(const std::string& name);
+    std::size_t held() const;
+
+    asio::io_context& io_;
+    const Config config_;
+    Journal journal_;
+    cometspoke::Sender sender_;
+    Targets targets_;
+    Discovery discovery_;
+    Peers peers_;
+    Clients clients_;
+    asio::steady_timer timer_, drain_step_, drain_end_;
+    bool turn_due_ = false, draining_ = false;
+    std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
+    std::map<std::string, EndpointId> endpoints_;
+    std::vector<std::string> endpoint_names_;
+};
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/journal.cpp
@@ -0,0 +1,306 @@
+#include "journal.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <utility>
+
+namespace lockgw {
+namespace {
+
+enum class Kind : std::uint8_t { Entry = 1, Begun, NeverRan, MayHaveRun, Delivered, Ended, Confirmed };
+
+constexpr std::size_t kHeader = 8;           // length and checksum
+constexpr std::size_t kBlock = 512;          // files count in these
+constexpr std::size_t kFolder = 4096;        // kept free for the folder itself
+constexpr std::size_t kLongestTarget = 128;  // longer names are cut: they only tell where a repeat may go
+constexpr std::size_t kGrowth =
+    2 * kLongestTarget + 64;        // an entry may grow by so much after it was taken on
+constexpr double kLiveShare = 0.4;  // of the room: the old file, the new one and some appending fit in it
+
+std::size_t in_blocks(std::size_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
+
+class Writer {
+public:
+    explicit Writer(Kind kind) { number(kind); }
+    template <class T>
+    Writer& number(T value) {
+        char raw[sizeof(T)];
+        std::memcpy(raw, &value, sizeof(T));
+        bytes_.append(raw, sizeof(T));
+        return *this;
+    }
+    Writer& text(std::string_view value) {
+        number(static_cast<std::uint32_t>(value.size()));
+        bytes_.append(value);
+        return *this;
+    }
+    Writer& time(Wall value) { return number<std::int64_t>(value.time_since_epoch().count()); }
+    Writer& attempt(const std::optional<BegunAttempt>& value) {
+        number<std::uint8_t>(value.has_value());
+        return value ? time(value->since).text(value->target) : *this;
+    }
+    const std::string& bytes() const { return bytes_; }
+
+private:
+    std::string bytes_;
+};
+
+/// Throws std::out_of_range where a record is too short for what it says it holds.
+class Reader {
+public:
+    explicit Reader(std::string_view bytes) : rest_(bytes) {}
+    template <class T>
+    T number() {
+        T value;
+        std::memcpy(&value, take(sizeof(T)).data(), sizeof(T));
+        return value;
+    }
+    std::string text() { return std::string(take(number<std::uint32_t>())); }
+    Wall time() { return Wall(std::chrono::microseconds(number<std::int64_t>())); }
+    std::optional<BegunAttempt> attempt() {
+        if (number<std::uint8_t>() == 0) return std::nullopt;
+        const Wall since = time();
+        return BegunAttempt{since, text()};
+    }
+
+private:
+    std::string_view take(std::size_t count) {
+        if (count > rest_.size()) throw std::out_of_range("record");
+        const std::string_view taken = rest_.substr(0, count);
+        rest_.remove_prefix(count);
+        return taken;
+    }
+    std::string_view rest_;
+};
+
+std::string record_of(const Entry& entry) {
+    const Message& message = entry.message;
+    Writer writer(Kind::Entry);
+    writer.number(message.id).text(message.message_class).text(message.tenant).text(message.key);
+    writer.number(message.destination).time(message.deadline).text(message.body);
+    writer.number(entry.attempts).attempt(entry.doubt).attempt(entry.out);
+    writer.number<std::uint8_t>(entry.notice.has_value());
+    if (entry.notice) {
+        writer.number<std::uint8_t>(entry.notice->bounced);
+        writer.number<std::int64_t>(entry.notice->wait.count());
+    }
+    return writer.bytes();
+}
+Notice read_notice(Reader& reader) {
+    const bool bounced = reader.number<std::uint8_t>() != 0;
+    return {bounced, std::chrono::milliseconds(reader.number<std::int64_t>())};
+}
+Entry read_entry(MessageId id, Reader& reader) {
+    Entry entry;
+    Message& message = entry.message;
+    message.id = id;
+    message.message_class = reader.text();
+    message.tenant = reader.text();
+    message.key = reader.text();
+    message.destination = reader.number<std::int64_t>();
+    message.deadline = reader.time();
+    message.body = reader.text();
+    entry.attempts = reader.number<std::uint32_t>();
+    entry.doubt = reader.attempt();
+    entry.out = reader.attempt();
+    if (reader.number<std::uint8_t>() != 0) entry.notice = read_notice(reader);
+    return entry;
+}
+
+std::uint32_t checksum(std::string_view bytes) {
+    boost::crc_32_type sum;
+    sum.process_bytes(bytes.data(), bytes.size());
+    return sum.checksum();
+}
+std::string framed(const std::string& record) {
+    const std::uint32_t head[] = {static_cast<std::uint32_t>(record.size()), checksum(record)};
+    std::string bytes(kHeader, '\0');
+    std::memcpy(bytes.data(), head, kHeader);
+    return bytes + record;
+}
+/// The record at the front; none where it is torn or garbage.
+std::optional<std::string_view> unframed(std::string_view bytes) {
+    std::uint32_t head[2];
+    if (bytes.size() < kHeader) return std::nullopt;
+    std::memcpy(head, bytes.data(), kHeader);
+    bytes.remove_prefix(kHeader);
+    if (head[0] == 0 || head[0] > bytes.size()) return std::nullopt;
+    bytes = bytes.substr(0, head[0]);
+    return checksum(bytes) == head[1] ? std::optional(bytes) : std::nullopt;
+}
+
+bool write_all(int fd, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const ssize_t wrote = ::write(fd, bytes.data(), bytes.size());
+        if (wrote < 0 && errno == EINTR) continue;
+        if (wrote <= 0) return false;
+        bytes.remove_prefix(static_cast<std::size_t>(wrote));
+    }
+    return true;
+}
+
+}  // namespace
+
+Descriptor::Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+Descriptor& Descriptor::operator=(Descriptor&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+}
+Descriptor::~Descriptor() {
+    if (fd_ >= 0) ::close(fd_);
+}
+
+Journal::Journal(std::filesystem::path folder, std::size_t disk_bytes)
+    : folder_(std::move(folder)), most_(disk_bytes - std::min(disk_bytes, kFolder)) {
+    std::error_code ignored;
+    std::filesystem::remove(folder_ / "journal.new", ignored);  // a compaction that was cut off
+    recover();
+    if (compact()) return;
+    file_ =
+        Descriptor(::open((folder_ / "journal").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC | O_APPEND, 0600));
+    if (file_.get() < 0 || ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0)
+        throw std::runtime_error("the journal in " + folder_.string() + " cannot be written");
+}
+
+void Journal::recover() {
+    std::ifstream stream(folder_ / "journal", std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
+    while (const auto record = unframed(std::string_view(bytes).substr(size_))) {
+        if (!apply(*record)) break;
+        size_ += kHeader + record->size();
+    }
+}
+
+const Entry* Journal::find(MessageId id) const {
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<const Entry*> Journal::in_order() const {
+    std::vector<const Entry*> all;
+    for (const auto& [id, entry] : entries_) all.push_back(&entry);
+    std::sort(all.begin(), all.end(), [](const Entry* a, const Entry* b) { return a->arrival < b->arrival; });
+    return all;
+}
+
+std::size_t Journal::cost(const Entry& entry) { return kHeader + record_of(entry).size() + kGrowth; }
+
+/// What a record says, done to the entries: the same for one just written and for one read back.
+bool Journal::apply(std::string_view record) try {
+    Reader reader(record);
+    const auto kind = static_cast<Kind>(reader.number<std::uint8_t>());
+    const auto id = reader.number<MessageId>();
+    if (kind == Kind::Entry) {
+        Entry entry = read_entry(id, reader);
+        entry.arrival = ++arrivals_;
+        live_ += cost(entry);
+        return entries_.emplace(id, std::move(entry)).second;
+    }
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) return true;
+    Entry& entry = found->second;
+    live_ -= cost(entry);
+    if (kind == Kind::Begun) {
+        entry.doubt = entry.may_have_run();
+        const Wall since = reader.time();
+        entry.out = BegunAttempt{since, reader.text()};
+        ++entry.attempts;
+    } else if (kind == Kind::NeverRan) {
+        entry.out.reset();
+    } else if (kind == Kind::MayHaveRun) {
+        entry.doubt = entry.may_have_run();
+        entry.out.reset();
+    } else if (kind == Kind::Ended) {
+        entry.notice = read_notice(reader);
+        entry.message.body.clear();
+    } else {
+        entries_.erase(found);
+        return true;
+    }
+    live_ += cost(entry);
+    return true;
+} catch (const std::out_of_range&) {
+    return false;
+}
+
+bool Journal::take_on(const Message& message) {
+    Entry entry;
+    entry.message = message;
+    const auto most_live = static_cast<std::size_t>(kLiveShare * static_cast<double>(most_));
+    if (entries_.contains(message.id) || live_ + cost(entry) > most_live) return false;
+    const std::string record = record_of(entry);
+    return append(record) && apply(record);
+}
+bool Journal::begin_attempt(MessageId id, const std::string& target, Wall now) {
+    const Writer writer =
+        Writer(Kind::Begun).number(id).time(now).text(std::string_view(target).substr(0, kLongestTarget));
+    if (append(writer.bytes())) return apply(writer.bytes());
+    if (const auto found = entries_.find(id); found != entries_.end()) ++found->second.attempts;
+    stale_ = true;
+    return false;
+}
+void Journal::end_attempt(MessageId id, bool never_ran) {
+    write(Writer(never_ran ? Kind::NeverRan : Kind::MayHaveRun).number(id).bytes());
+}
+void Journal::delivered(MessageId id) { write(Writer(Kind::Delivered).number(id).bytes()); }
+void Journal::confirmed(MessageId id) { write(Writer(Kind::Confirmed).number(id).bytes()); }
+void Journal::end(MessageId id, Notice notice) {
+    Writer writer(Kind::Ended);
+    writer.number(id).number<std::uint8_t>(notice.bounced).number<std::int64_t>(notice.wait.count());
+    write(writer.bytes());
+}
+
+/// What has happened counts also where it cannot be written now: the next compaction brings it.
+void Journal::write(const std::string& record) {
+    if (!append(record)) stale_ = true;
+    apply(record);
+}
+
+bool Journal::room_for(std::size_t bytes) const {
+    return in_blocks(size_ + bytes) + in_blocks(live_ + bytes) <= most_;
+}
+
+bool Journal::append(const std::string& record) {
+    const std::string bytes = framed(record);
+    if ((stale_ || !room_for(bytes.size())) && !compact()) return false;
+    if (!room_for(bytes.size())) return false;
+    if (write_all(file_.get(), bytes)) {
+        size_ += bytes.size();
+        return true;
+    }
+    // Half a record would hide all that is appended behind it.
+    stale_ = ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0;
+    return false;
+}
+
+/// Writes the entries to a new file and puts it in the place of the old one.
+bool Journal::compact() {
+    std::string bytes;
+    for (const Entry* entry : in_order()) bytes += framed(record_of(*entry));
+    if (in_blocks(size_) + in_blocks(bytes.size()) > most_) return false;
+    const auto fresh = folder_ / "journal.new";
+    Descriptor file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0600));
+    if (file.get() < 0) return false;
+    std::error_code failed;
+    if (write_all(file.get(), bytes)) {
+        std::filesystem::rename(fresh, folder_ / "journal", failed);
+        if (!failed) {
+            file_ = std::move(file);
+            size_ = bytes.size();
+            stale_ = false;
+            return true;
+        }
+    }
+    std::filesystem::remove(fresh, failed);
+    return false;
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/journal.hpp
@@ -0,0 +1,104 @@
+/// What a forwarder owes, kept in files that outlast its process.
+///
+/// Records are appended with length and checksum. What is written to a file outlasts the process without a
+/// sync; only the last record can be torn. The entries in memory are the truth; the file follows them.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cometspoke/sender.hpp"
+
+namespace lockgw {
+
+using cometspoke::MessageId;
+/// Of the system clock: the only one that goes on while the process is down.
+using Wall = std::chrono::sys_time<std::chrono::microseconds>;
+
+/// A message as its client handed it in. Class and tenant go by name: their order may change with a restart.
+struct Message {
+    MessageId id = 0;
+    std::string message_class, tenant, key;
+    std::int64_t destination = 0;
+    Wall deadline{};
+    std::string body;
+};
+struct BegunAttempt {
+    Wall since{};
+    std::string target;
+};
+/// How a message ended that was not delivered.
+struct Notice {
+    bool bounced = false;  ///< else dead
+    std::chrono::milliseconds wait{0};
+};
+struct Entry {
+    Message message;
+    std::uint32_t attempts = 0;
+    std::optional<BegunAttempt> doubt;  ///< the first attempt that may have run
+    std::optional<BegunAttempt> out;    ///< the one without an outcome
+    std::optional<Notice> notice;       ///< the message is over, and this is not confirmed yet
+    std::uint64_t arrival = 0;          ///< its place in the order of taking on
+    /// The first attempt that may have run if the process ended now.
+    const std::optional<BegunAttempt>& may_have_run() const { return doubt ? doubt : out; }
+};
+
+class Descriptor {
+public:
+    explicit Descriptor(int fd = -1) : fd_(fd) {}
+    Descriptor(Descriptor&& other) noexcept;
+    Descriptor& operator=(Descriptor&& other) noexcept;
+    ~Descriptor();
+    int get() const { return fd_; }
+
+private:
+    int fd_;
+};
+
+class Journal {
+public:
+    /// Reads back what an earlier process owed. Throws std::runtime_error where the folder cannot be used.
+    Journal(std::filesystem::path folder, std::size_t disk_bytes);
+
+    const std::map<MessageId, Entry>& entries() const { return entries_; }
+    const Entry* find(MessageId id) const;
+    /// In the order in which they were taken on.
+    std::vector<const Entry*> in_order() const;
+
+    /// False where it could not be kept: nothing is owed then.
+    bool take_on(const Message& message);
+    /// False where it could not be kept: the attempt counts, but must not begin.
+    bool begin_attempt(MessageId id, const std::string& target, Wall now);
+    /// The attempt that is out has an outcome.
+    void end_attempt(MessageId id, bool never_ran);
+    void delivered(MessageId id);
+    void end(MessageId id, Notice notice);
+    void confirmed(MessageId id);
+
+private:
+    void recover();
+    bool apply(std::string_view record);
+    bool append(const std::string& record);
+    bool compact();
+    void write(const std::string& record);
+    bool room_for(std::size_t bytes) const;
+    static std::size_t cost(const Entry& entry);
+
+    std::filesystem::path folder_;
+    std::size_t most_;      // bytes that both files together may take
+    std::size_t size_ = 0;  // of the file
+    std::size_t live_ = 0;  // at most so much after a compaction
+    bool stale_ = false;    // the file lacks something: it must be written anew before the next record
+    Descriptor file_;
+    std::map<MessageId, Entry> entries_;
+    std::uint64_t arrivals_ = 0;
+};
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/targets.hpp
@@ -0,0 +1,62 @@
+/// Calls to targets over kept-alive connections, one call at a time on each.
+///
+/// It maps what happened to an Outcome and repeats nothing by itself.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config.hpp"
+
+namespace lockgw {
+
+using cometspoke::EndpointId;
+using cometspoke::MessageId;
+
+struct Call {
+    MessageId message = 0;
+    EndpointId endpoint = 0;
+    std::uint32_t attempt = 0;
+    std::string key, body;
+    cometspoke::Time time_out{0};
+};
+
+class TargetConnection;
+
+class Targets {
+public:
+    using Done = std::function<void(cometspoke::OutcomeEvent)>;
+
+    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done);
+    ~Targets();
+
+    void set_address(EndpointId endpoint, const Tcp::endpoint& address);
+    /// Its outcome comes by Done, never from within this call.
+    void start(Call call);
+    /// Its outcome comes at once.
+    void cancel(MessageId message, std::uint32_t attempt);
+    void close_idle(EndpointId endpoint);
+
+private:
+    friend class TargetConnection;
+    using Connection = std::shared_ptr<TargetConnection>;
+
+    Connection take_idle(EndpointId endpoint);
+    void now_idle(const Connection& connection);
+    void drop_idle(const Connection& connection);
+    void drop_oldest_idle();
+    void ended(const Connection& connection, cometspoke::OutcomeEvent outcome);
+
+    asio::io_context& io_;
+    const Config& config_;
+    std::size_t most_;
+    Done done_;
+    std::map<EndpointId, Tcp::endpoint> addresses_;
+    std::map<std::pair<MessageId, std::uint32_t>, Connection> calls_;
+    std::vector<Connection> idle_;  // the one used last stands last
+};
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,51 @@
+/// The operator's settings, from JSON to the module's own types. Shared by the adapter and the forwarder.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "cometspoke/sender.hpp"
+
+namespace cometspoke::settings {
+
+using Json = nlohmann::json;
+using Index = std::map<std::string, std::size_t>;
+
+/// The input is not what it should be; what() says what was wrong.
+class BadInput : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+Time from_ms(double ms);
+double to_ms(Time time);
+
+const Json& need(const Json& object, const char* name);
+/// The field's value, or the fallback where it is absent.
+template <class T>
+T value_or(const Json& object, const char* name, T fallback) {
+    const auto found = object.find(name);
+    return found == object.end() || found->is_null() ? fallback : found->get<T>();
+}
+Time time_or(const Json& object, const char* name, Time fallback);
+template <class T>
+T field(const Json& object, const char* name) {
+    return need(object, name).get<T>();
+}
+
+/// Message ids are written as 16 hex digits.
+MessageId id_of(const std::string& text);
+std::string id_text(MessageId message);
+
+/// The names that the settings list, each with its place.
+struct Names {
+    Index classes, tenants, zones, kinds;
+};
+std::size_t index_of(const Index& index, const std::string& name, const char* what);
+Names names_of(const Json& params);
+Settings settings_of(const Json& params, const Names& names);
+
+}  // namespace cometspoke::settings
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -1,49 +1,16 @@
 #include "wire.hpp"
 
 #include <array>
-#include <cmath>
 #include <istream>
 #include <ostream>
 #include <set>
 #include <utility>
 
 namespace cometspoke::wire {
-namespace {
 
-Time from_ms(double ms) { return Time(static_cast<Time::rep>(std::llround(ms * 1000.0))); }
-double to_ms(Time time) { return static_cast<double>(time.count()) / 1000.0; }
+using namespace settings;
 
-const Json& need(const Json& object, const char* name) {
-    const auto found = object.find(name);
-    if (found == object.end() || found->is_null()) throw BadInput(std::string("missing field ") + name);
-    return *found;
-}
-/// The field's value, or the fallback where it is absent.
-template <class T>
-T value_or(const Json& object, const char* name, T fallback) {
-    const auto found = object.find(name);
-    return found == object.end() || found->is_null() ? fallback : found->get<T>();
-}
-Time time_or(const Json& object, const char* name, Time fallback) {
-    return from_ms(value_or(object, name, to_ms(fallback)));
-}
-template <class T>
-T field(const Json& object, const char* name) {
-    return need(object, name).get<T>();
-}
-
-MessageId ticket_of(const Json& fields) {
-    const auto text = field<std::string>(fields, "ticket");
-    if (text.size() != 16 || text.find_first_not_of("0123456789abcdef") != std::string::npos)
-        throw BadInput("ticket is not 16 hex digits: " + text);
-    return std::stoull(text, nullptr, 16);
-}
-std::string ticket_text(MessageId message) {
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text(16, '0');
-    for (std::size_t i = 16; i-- > 0; message >>= 4) text[i] = digits[message & 15];
-    return text;
-}
+namespace {
 
 constexpr std::array<std::pair<const char*, Outcome>, 8> outcome_codes{
     {{"served", Outcome::Served}, {"server_error", Outcome::ServerError},
@@ -86,99 +53,10 @@
     return bytes;
 }
 
-std::map<std::string, std::size_t> index_names(const Json& names) {
-    std::map<std::string, std::size_t> index;
-    for (const Json& entry : names)
-        index.emplace(
-            entry.is_string() ? entry.get<std::string>() : field<std::string>(entry, "name"), index.size());
-    return index;
-}
-std::size_t index_of(
-    const std::map<std::string, std::size_t>& index, const std::string& name, const char* what) {
-    const auto found = index.find(name);
-    if (found == index.end()) throw BadInput(std::string("unknown ") + what + " " + name);
-    return found->second;
-}
-
-ClassSettings class_of(const Json& fields) {
-    ClassSettings result;
-    const auto effect = field<std::string>(fields, "effect");
-    if (effect != "retryable" && effect != "dedup" && effect != "fragile")
-        throw BadInput("unknown effect " + effect);
-    result.effect = effect == "fragile" ? Effect::Fragile
-                    : effect == "dedup" ? Effect::Dedup
-                                        : Effect::Retryable;
-    const auto scope = value_or<std::string>(fields, "dedup_scope", "all");
-    result.dedup_scope = scope == "all"    ? DedupScope::All
-                         : scope == "zone" ? DedupScope::Zone
-                                           : DedupScope::Endpoint;
-    result.window = time_or(fields, "window_ms", Time(0));
-    result.aim = from_ms(field<double>(fields, "aim_ms"));
-    result.deadline = from_ms(field<double>(fields, "hard_limit_ms"));
-    result.worth = value_or(fields, "worth", 1.0);
-    result.late_worth = value_or(fields, "late_worth", 0.0);
-    result.sequential = value_or(fields, "sequential", false);
-    return result;
-}
-
-void read_limits(const Json& params, Settings& settings) {
-    const Json& limits = need(params, "limits");
-    settings.most_held = field<std::size_t>(limits, "most_held");
-    settings.max_attempts = field<std::size_t>(limits, "max_attempts");
-    settings.cancel = value_or(limits, "cancel", false);
-    settings.conn_idle = time_or(limits, "conn_idle_ms", Time(0));
-    const Json& contract = need(params, "contract");
-    settings.fall = time_or(contract, "fall_ms", Time(0));
-    settings.warm_within = time_or(contract, "warm_within_ms", Time(0));
-    settings.settle_after_doubt = time_or(contract, "settle_after_doubt_ms", Time(0));
-    settings.fall_multiple = value_or(contract, "fall_multiple", settings.fall_multiple);
-    settings.cold_from = value_or(contract, "cold_from", settings.cold_from);
-}
-
-void read_kinds(const Json& info, std::size_t count, Settings& settings) {
-    const Json none = Json::array();
-    const Json& apart = info.contains("routes_apart") ? info["routes_apart"] : none;
-    const Json& per_call = info.contains("per_call") ? info["per_call"] : none;
-    settings.kinds.resize(count);
-    for (std::size_t i = 0; i < count; ++i) {
-        if (i < apart.size()) settings.kinds[i].routes_apart = apart[i].get<bool>();
-        if (i < per_call.size()) settings.kinds[i].per_call = per_call[i].get<std::size_t>();
-    }
-}
-
-Settings settings_of(const Json& params) {
-    Settings settings;
-    for (const Json& entry : need(params, "classes")) settings.classes.push_back(class_of(entry));
-    for (const Json& entry : value_or(params, "tenants", Json::array()))
-        settings.tenants.push_back({value_or(entry, "quota_per_s", 0.0)});
-    const Json& info = need(params, "family_info");
-    settings.slots = field<std::size_t>(info, "slots");
-    read_kinds(info, need(params, "kinds").size(), settings);
-    settings.loses_worth = value_or<std::string>(info, "loses_worth", "linear") == "halving"
-                               ? LateWorth::Halving
-                               : LateWorth::Linear;
-    read_limits(params, settings);
-    settings.n_instances = field<std::size_t>(params, "n_instances");
-    settings.must_subscribe = value_or<std::string>(params, "discovery", "automatic") == "subscribe";
-    settings.listed_rates = value_or<std::string>(params, "weights", "off") != "off";
-    settings.floor_per_s = value_or(params, "floor_per_s", 0.0);
-    settings.over_share_worth = value_or(params, "over_share_worth", 1.0);
-    return settings;
-}
-
 }  // namespace
 
 Instance::Instance(const Json& params, std::uint64_t seed)
-    : classes_(index_names(need(params, "classes"))),
-      tenants_(index_names(value_or(params, "tenants", Json::array()))),
-      zones_(index_names(value_or(params, "localities", Json::array()))),
-      kinds_(index_names(need(params, "kinds"))) {
-    Settings settings = settings_of(params);
-    settings.zones = zones_.size();
-    if (const auto zone = zones_.find(value_or<std::string>(params, "az", "")); zone != zones_.end())
-        settings.zone = zone->second;
-    sender_.emplace(std::move(settings), seed);
-}
+    : names_(settings::names_of(params)), sender_(Sender(settings::settings_of(params, names_), seed)) {}
 
 EndpointId Instance::endpoint_of(const std::string& name) {
     const auto [found, fresh] = endpoints_.emplace(name, static_cast<EndpointId>(endpoint_names_.size()));
@@ -201,9 +79,9 @@
         entry.endpoint = endpoint_of(field<std::string>(row, "target"));
         entry.destination = static_cast<DestinationId>(value_or(row, "destination", 0.0));
         if (const auto zone = value_or<std::string>(row, "az", ""); !zone.empty())
-            entry.zone = index_of(zones_, zone, "zone");
+            entry.zone = index_of(names_.zones, zone, "zone");
         if (const auto kind_name = value_or<std::string>(row, "shape", ""); !kind_name.empty())
-            entry.kind = index_of(kinds_, kind_name, "kind");
+            entry.kind = index_of(names_.kinds, kind_name, "kind");
         entry.rate = value_or(row, "power_hint", 0.0);
         const int condition = value_or(row, "condition", 0);
         entry.condition = condition == 1   ? Condition::Ready
@@ -216,12 +94,12 @@
 
 MessageEvent Instance::message_of(const Json& fields) const {
     MessageEvent event;
-    event.message = ticket_of(fields);
+    event.message = id_of(field<std::string>(fields, "ticket"));
     event.destination = static_cast<DestinationId>(field<double>(fields, "called_node"));
-    event.message_class = index_of(classes_, field<std::string>(fields, "category"), "class");
+    event.message_class = index_of(names_.classes, field<std::string>(fields, "category"), "class");
     const Json tenant = value_or(fields, "project", Json());
-    if (tenant.is_string() && !tenants_.empty())
-        event.tenant = index_of(tenants_, tenant.get<std::string>(), "tenant");
+    if (tenant.is_string() && !names_.tenants.empty())
+        event.tenant = index_of(names_.tenants, tenant.get<std::string>(), "tenant");
     if (const Json key = value_or(fields, "subject", Json()); !key.is_null())
         event.key = key.get<std::uint64_t>();
     event.left = from_ms(field<double>(fields, "patience_left_ms"));
@@ -237,7 +115,7 @@
 
 OutcomeEvent Instance::outcome_of(const Json& fields) {
     OutcomeEvent event;
-    event.message = ticket_of(fields);
+    event.message = id_of(field<std::string>(fields, "ticket"));
     event.endpoint = endpoint_of(field<std::string>(fields, "target"));
     event.attempt = value_or<std::uint32_t>(fields, "trial", 0);
     event.outcome = outcome_code(fields);
@@ -259,11 +137,13 @@
     } else if (name == "JOB_IN") {
         sender_->observe(message_of(fields), now);
     } else if (name == "FLOWING") {
-        sender_->observe(StreamStarted{ticket_of(fields), value_or<std::uint32_t>(fields, "trial", 0)}, now);
+        sender_->observe(StreamStarted{id_of(field<std::string>(fields, "ticket")),
+                             value_or<std::uint32_t>(fields, "trial", 0)},
+            now);
     } else if (name == "REPORT_BACK") {
         sender_->observe(outcome_of(fields), now);
     } else if (name == "ABANDONED") {
-        sender_->observe(AbandonedEvent{ticket_of(fields)}, now);
+        sender_->observe(AbandonedEvent{id_of(field<std::string>(fields, "ticket"))}, now);
     } else if (name == "WAKE") {
         sender_->observe(TimerFired{}, now);
     } else if (name == "CHECK_RESULT") {
@@ -282,20 +162,20 @@
     const char* name = "";
     if (const auto* send = std::get_if<Send>(&action)) {
         name = "SEND";
-        fields["ticket"] = ticket_text(send->message);
+        fields["ticket"] = id_text(send->message);
         fields["target"] = endpoint_names_.at(send->endpoint);
         fields["allow_for_ms"] = to_ms(send->time_out);
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
         name = "DROP_ATTEMPT";
-        fields["ticket"] = ticket_text(cancel->message);
+        fields["ticket"] = id_text(cancel->message);
         fields["trial"] = cancel->attempt;
     } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
         name = "DENY";
-        fields["ticket"] = ticket_text(refuse->message);
+        fields["ticket"] = id_text(refuse->message);
         fields["retry_after_ms"] = to_ms(refuse->retry_after);
     } else if (const auto* fail = std::get_if<Fail>(&action)) {
         name = "GIVE_UP";
-        fields["ticket"] = ticket_text(fail->message);
+        fields["ticket"] = id_text(fail->message);
     } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
         name = "WAKE_ME";
         fields["sleep_for_ms"] = to_ms(timer->delay);
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -4,23 +4,18 @@
 #include <cstdint>
 #include <iosfwd>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "cometspoke/sender.hpp"
+#include "settings.hpp"
 
 namespace cometspoke::wire {
 
-using Json = nlohmann::json;
+using Json = settings::Json;
 
-/// The input is not the wire; what() says what was wrong.
-class BadInput : public std::runtime_error {
-public:
-    using std::runtime_error::runtime_error;
-};
+using settings::BadInput;
 
 /// One hosted instance: its Sender and the names it has met.
 class Instance {
@@ -40,7 +35,7 @@
     std::optional<LoadReport> report_of(const Json& fields) const;
     Json json_of(const Action& action, std::int64_t who) const;
 
-    std::map<std::string, std::size_t> classes_, tenants_, zones_, kinds_;
+    settings::Names names_;
     std::map<std::string, EndpointId> endpoints_;
     std::vector<std::string> endpoint_names_;
     std::optional<Sender> sender_;
