--- /dev/null
+++ b/tests/journal_test.cpp
@@ -0,0 +1,178 @@
+#include "net/journal.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "net_helpers.hpp"
+
+namespace lockgw {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRoom = 1 << 20;
+const Wall kNow{std::chrono::seconds(1'700'000'000)};
+
+Message make_message(MessageId id, std::string body = "body") {
+    return {id, "order", "acme", "key", 7, kNow + milliseconds(8000), std::move(body)};
+}
+std::string bytes_of(const std::filesystem::path& path) {
+    std::ifstream stream(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+void write_bytes(const std::filesystem::path& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary) << bytes;
+}
+std::size_t bytes_on_disk(const std::filesystem::path& folder) {
+    std::size_t sum = 0;
+    for (const auto& file : std::filesystem::directory_iterator(folder))
+        sum += (file.file_size() + 511) / 512 * 512;
+    return sum;
+}
+
+TEST(Journal, BringsBackWhatIsOwed) {
+    TemporaryFolder folder;
+    {
+        Journal journal(folder.path(), kRoom);
+        ASSERT_TRUE(journal.take_on(make_message(2)));
+        ASSERT_TRUE(journal.take_on(make_message(1, std::string("\0\n", 2))));
+        ASSERT_TRUE(journal.take_on(make_message(3)));
+        ASSERT_TRUE(journal.take_on(make_message(4)));
+        ASSERT_TRUE(journal.begin_attempt(2, "s-1", kNow));
+        journal.end_attempt(2, true);
+        ASSERT_TRUE(journal.begin_attempt(2, "s-2", kNow + milliseconds(5)));
+        journal.end_attempt(2, false);
+        ASSERT_TRUE(journal.begin_attempt(2, "s-3", kNow + milliseconds(9)));
+        journal.delivered(3);
+        journal.end(4, {true, milliseconds(500)});
+    }
+    for (int restart = 0; restart < 2; ++restart) {  // the second reads what the first compacted
+        Journal journal(folder.path(), kRoom);
+        ASSERT_EQ(journal.entries().size(), 3u);
+        EXPECT_EQ(journal.in_order()[0]->message.id, 2u);
+        EXPECT_EQ(journal.in_order()[1]->message.id, 1u);
+        const Entry& tried = *journal.find(2);
+        EXPECT_EQ(tried.attempts, 3u);
+        ASSERT_TRUE(tried.may_have_run());
+        EXPECT_EQ(tried.may_have_run()->target, "s-2");
+        EXPECT_EQ(tried.may_have_run()->since, kNow + milliseconds(5));
+        const Message& untried = journal.find(1)->message;
+        EXPECT_EQ(untried.body, std::string("\0\n", 2));
+        EXPECT_EQ(untried.key, "key");
+        EXPECT_EQ(untried.destination, 7);
+        EXPECT_EQ(untried.deadline, kNow + milliseconds(8000));
+        EXPECT_FALSE(journal.find(1)->may_have_run());
+        ASSERT_TRUE(journal.find(4)->notice);
+        EXPECT_EQ(journal.find(4)->notice->wait, milliseconds(500));
+    }
+    Journal journal(folder.path(), kRoom);
+    journal.confirmed(4);
+    EXPECT_EQ(Journal(folder.path(), kRoom).entries().size(), 2u);
+}
+
+// A process killed in a write leaves any prefix of the file: each must give the messages whose records are
+// whole.
+TEST(Journal, SurvivesACutAtEveryByte) {
+    TemporaryFolder folder;
+    std::vector<std::size_t> ends;
+    {
+        Journal journal(folder.path(), kRoom);
+        for (MessageId id = 1; id <= 3; ++id) {
+            ASSERT_TRUE(journal.take_on(make_message(id)));
+            ends.push_back(std::filesystem::file_size(folder.path() / "journal"));
+        }
+    }
+    const std::string whole = bytes_of(folder.path() / "journal");
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+        write_bytes(folder.path() / "journal", whole.substr(0, cut));
+        Journal journal(folder.path(), kRoom);
+        const auto kept =
+            std::count_if(ends.begin(), ends.end(), [cut](std::size_t end) { return end <= cut; });
+        ASSERT_EQ(journal.entries().size(), static_cast<std::size_t>(kept)) << cut;
+        ASSERT_TRUE(journal.take_on(make_message(9)));  // and goes on behind what is left
+        ASSERT_NE(Journal(folder.path(), kRoom).find(9), nullptr) << cut;
+    }
+}
+
+TEST(Journal, SurvivesGarbage) {
+    TemporaryFolder folder;
+    { ASSERT_TRUE(Journal(folder.path(), kRoom).take_on(make_message(1))); }
+    const std::string whole = bytes_of(folder.path() / "journal");
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string spoilt = whole;
+        spoilt[at] = static_cast<char>(spoilt[at] ^ 0x55);
+        write_bytes(folder.path() / "journal", spoilt);
+        EXPECT_EQ(Journal(folder.path(), kRoom).entries().size(), 0u) << at;
+    }
+    write_bytes(folder.path() / "journal", whole + std::string(5000, '\xff'));
+    write_bytes(folder.path() / "journal.new", "a compaction that was cut off");
+    EXPECT_EQ(Journal(folder.path(), kRoom).entries().size(), 1u);
+    EXPECT_FALSE(std::filesystem::exists(folder.path() / "journal.new"));
+}
+
+TEST(Journal, CompactsAndKeepsToItsRoom) {
+    constexpr std::size_t room = 64 * 1024;
+    TemporaryFolder folder;
+    Journal journal(folder.path(), room);
+    ASSERT_TRUE(journal.take_on(make_message(1)));
+    for (MessageId id = 2; id < 400; ++id) {
+        ASSERT_TRUE(journal.take_on(make_message(id, std::string(1000, 'b')))) << id;
+        ASSERT_TRUE(journal.begin_attempt(id, "s-1", kNow));
+        journal.delivered(id);
+        ASSERT_LE(bytes_on_disk(folder.path()), room);
+    }
+    EXPECT_EQ(Journal(folder.path(), room).entries().size(), 1u);
+}
+
+TEST(Journal, TakesNothingOnBeyondItsRoom) {
+    constexpr std::size_t room = 64 * 1024;
+    TemporaryFolder folder;
+    Journal journal(folder.path(), room);
+    MessageId taken = 0;
+    while (taken < 1000 && journal.take_on(make_message(taken + 1, std::string(1000, 'b')))) ++taken;
+    EXPECT_GT(taken, 10u);
+    EXPECT_LT(taken, 64u);
+    for (int round = 0; round < 12; ++round)  // what was taken on can still be tried and ended
+        for (MessageId id = 1; id <= taken; ++id) {
+            ASSERT_TRUE(journal.begin_attempt(id, "s-1", kNow));
+            journal.end_attempt(id, true);
+            ASSERT_LE(bytes_on_disk(folder.path()), room);
+        }
+    for (MessageId id = 1; id <= taken; ++id) journal.delivered(id);
+    EXPECT_TRUE(journal.take_on(make_message(5000)));
+}
+
+// A full disk ends a write short: nothing may be said to be kept that is not, and no half record may stay.
+TEST(Journal, ToldOfAFullDiskTakesNothingOn) {
+    TemporaryFolder folder;
+    Journal journal(folder.path(), kRoom);
+    ASSERT_TRUE(journal.take_on(make_message(1)));
+    const auto size = std::filesystem::file_size(folder.path() / "journal");
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    const rlimit full{size + 10, before.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &full);
+    const bool taken = journal.take_on(make_message(2));
+    const bool begun = journal.begin_attempt(1, "s-1", kNow);
+    setrlimit(RLIMIT_FSIZE, &before);
+    EXPECT_FALSE(taken);
+    EXPECT_FALSE(begun);
+    EXPECT_EQ(journal.find(1)->attempts, 1u);
+    EXPECT_EQ(std::filesystem::file_size(folder.path() / "journal"), size);
+    ASSERT_TRUE(journal.take_on(make_message(3)));
+    Journal back(folder.path(), kRoom);
+    EXPECT_EQ(back.find(2), nullptr);
+    EXPECT_NE(back.find(3), nullptr);
+    EXPECT_EQ(back.find(1)->attempts, 1u);  // the compaction after the fault brought it
+}
+
+TEST(Journal, SaysThatAFolderCannotBeUsed) {
+    EXPECT_THROW(Journal("/nonexistent/folder", kRoom), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace lockgw
