--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -119,6 +119,7 @@
         ""));
 
 TEST_F(NodeTest, HeedsAToldWait) {
+    node.config()["settings"]["family_info"]["slots"] = 1;  // nothing goes out before the wait is told
     node.start_ready();
     Client client = node.client();
     ASSERT_EQ(enqueue(client, id), "+OK");
