SIGHUP: the configuration read anew, and another agent of discovery taken over

Now signals are caught before the start. NODE_CONFIG is read whole and checked (the module's own checks of the settings included); a bad file is one line in the log. A new address of discovery is moved to at once: whole list first under its own revision, unconfirmed notices posted anew, the last list in use meanwhile. AgentConnection's handlers held a bare this and took an aborted operation for the end of the process; they hold the connection now and pass over what an earlier request left behind, so it can be given up under load.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
 /// lockgw: one real forwarder. Wiring and signals, nothing else.
+#include <pthread.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
@@ -7,6 +9,35 @@
 
 namespace {
 
+std::string plain(std::string what) {
+    for (char& letter : what)
+        if (letter == '\n') letter = ' ';
+    return what;
+}
+
+/// A bad file must not take a good process down: the configuration that it has stays in force.
+void reload(lockgw::Forwarder& forwarder) try {
+    forwarder.reload(lockgw::config_of_environment());
+    std::cerr << "lockgw: configuration read anew" << std::endl;
+} catch (const std::exception& bad) {
+    std::cerr << "lockgw: the old configuration stays: " << plain(bad.what()) << std::endl;
+}
+
+void heed(boost::asio::signal_set& signals, lockgw::Forwarder& forwarder) {
+    signals.async_wait([&](auto failed, int signal) {
+        if (failed) return;
+        heed(signals, forwarder);
+        signal == SIGHUP ? reload(forwarder) : forwarder.drain();
+    });
+}
+
+/// A signal that comes while all is being taken down must not turn a good end into a crash.
+void block_signals() {
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
 /// A fault in one handler must not take what the others hold with it.
 void run(boost::asio::io_context& io) {
     while (!io.stopped()) try {
@@ -21,18 +52,15 @@
 int main() try {
     std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more
     boost::asio::io_context io(1);
+    // first: a SIGHUP during the start must not end the process either
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     lockgw::Forwarder forwarder(io, lockgw::config_of_environment());
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&forwarder](auto failed, int) {
-        if (!failed) forwarder.drain();
-    });
+    heed(signals, forwarder);
     forwarder.start();
     run(io);
+    block_signals();
     return 0;
 } catch (const std::exception& bad) {
-    std::string what = bad.what();
-    for (char& letter : what)
-        if (letter == '\n') letter = ' ';
-    std::cerr << "lockgw: cannot start: " << what << std::endl;
+    std::cerr << "lockgw: cannot start: " << plain(bad.what()) << std::endl;
     return 1;
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -60,45 +60,59 @@
     return list;
 }
 
-/// One connection to the agent, with one request at a time; it is made anew after any failure.
-class AgentConnection {
+/// A kept-alive connection to the agent, one request at a time; it is made anew after any failure.
+///
+/// Its handlers hold it, and pass over what an earlier request left behind: it may be given up at any moment.
+class AgentConnection : public std::enable_shared_from_this<AgentConnection> {
+    template <class Next>
+    auto guarded(Next next) {
+        return [self = shared_from_this(), stream = stream_, turn = turn_, next](auto failed, auto&&...) {
+            if (turn != self->turn_) return;
+            failed ? self->fail(failed) : next(*self);
+        };
+    }
+
 public:
     /// The answer's status and body; status 0 where there was no answer.
     using Answered = std::function<void(unsigned, std::string)>;
 
     AgentConnection(asio::io_context& io, const Tcp::endpoint& address)
         : io_(io), address_(address), stream_(std::make_shared<beast::tcp_stream>(io)) {}
-    ~AgentConnection() { stream_->close(); }
 
     void ask(http::verb verb, const std::string& path, std::string body, std::chrono::milliseconds within,
         Answered answered) {
+        ++turn_;
         answered_ = std::move(answered);
         request_ = {verb, path, 11, std::move(body)};
         request_.set(http::field::host, "discovery");
         request_.prepare_payload();
         stream_->expires_after(within);
         if (stream_->socket().is_open()) return write();
-        stream_->async_connect(
-            address_, [this, stream = stream_](auto failed) { failed ? fail(failed) : write(); });
+        stream_->async_connect(address_, guarded([](AgentConnection& self) { self.write(); }));
+    }
+
+    /// Nothing is told any more.
+    void give_up() {
+        ++turn_;
+        answered_ = nullptr;
+        stream_->close();
     }
 
 private:
     void write() {
-        http::async_write(*stream_, request_,
-            [this, stream = stream_](auto failed, std::size_t) { failed ? fail(failed) : read(); });
+        http::async_write(*stream_, request_, guarded([](AgentConnection& self) { self.read(); }));
     }
     void read() {
         parser_.emplace();
         parser_->body_limit(kMostBody);
-        http::async_read(*stream_, buffer_, *parser_, [this, stream = stream_](auto failed, std::size_t) {
-            if (failed) return fail(failed);
-            stream_->expires_never();
-            if (!parser_->get().keep_alive()) renew();
-            std::exchange(answered_, nullptr)(parser_->get().result_int(), parser_->get().body());
-        });
+        http::async_read(*stream_, buffer_, *parser_, guarded([](AgentConnection& self) { self.answer(); }));
+    }
+    void answer() {
+        stream_->expires_never();
+        if (!parser_->get().keep_alive() || buffer_.size() > 0) renew();
+        std::exchange(answered_, nullptr)(parser_->get().result_int(), std::move(parser_->get().body()));
     }
     void fail(boost::system::error_code error) {
-        if (error == asio::error::operation_aborted) return;  // the end of the process
         renew();
         std::exchange(answered_, nullptr)(0, error.message());
     }
@@ -111,6 +125,7 @@
     asio::io_context& io_;
     Tcp::endpoint address_;
     std::shared_ptr<beast::tcp_stream> stream_;
+    std::uint64_t turn_ = 0;  // of the request that is out
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
@@ -118,15 +133,39 @@
 };
 
 Discovery::Discovery(asio::io_context& io, const Config& config, Told told, Confirmed confirmed)
-    : told_(std::move(told)),
+    : io_(io),
+      address_(config.discovery),
+      told_(std::move(told)),
       confirmed_(std::move(confirmed)),
-      watch_(std::make_unique<AgentConnection>(io, config.discovery)),
-      reports_(std::make_unique<AgentConnection>(io, config.discovery)),
       watch_pause_(io),
       report_pause_(io) {}
-Discovery::~Discovery() = default;
+Discovery::~Discovery() { leave(); }
 
-void Discovery::start() { watch(); }
+void Discovery::start() {
+    watch_ = std::make_shared<AgentConnection>(io_, address_);
+    reports_ = std::make_shared<AgentConnection>(io_, address_);
+    watch();
+    post();
+}
+
+/// The new agent counts its own versions and has not seen what the old one did not confirm: the whole list is
+/// asked for, and every unconfirmed notice goes to it at once. Until it answers the last list stays in use.
+void Discovery::move_to(const Tcp::endpoint& address) {
+    if (address == address_) return;
+    leave();
+    address_ = address;
+    revision_.reset();
+    posting_ = false;
+    start();
+}
+
+void Discovery::leave() {
+    ++stay_;
+    watch_pause_.cancel();
+    report_pause_.cancel();
+    if (watch_) watch_->give_up();
+    if (reports_) reports_->give_up();
+}
 
 /// Renewed as soon as it is answered: a watch that rests for long is a new one.
 void Discovery::watch() {
@@ -138,8 +177,8 @@
         if (status == 200 && watched(body)) return watch();
         if (status != 200) std::cerr << "discovery: no list: " << status << ' ' << body.substr(0, 80) << '\n';
         watch_pause_.expires_after(kRetry);
-        watch_pause_.async_wait([this](auto cancelled) {
-            if (!cancelled) watch();
+        watch_pause_.async_wait([this, stay = stay_](auto cancelled) {
+            if (!cancelled && stay == stay_) watch();
         });
     });
 }
@@ -162,7 +201,7 @@
 }
 
 void Discovery::post() {
-    if (posting_ || notices_.empty()) return;
+    if (!reports_ || posting_ || notices_.empty()) return;
     posting_ = true;
     std::string body;
     std::vector<MessageId> sent;
@@ -183,8 +222,8 @@
             }
             std::cerr << "discovery: notices not taken: " << status << ' ' << text.substr(0, 80) << '\n';
             report_pause_.expires_after(kRetry);
-            report_pause_.async_wait([this](auto cancelled) {
-                if (!cancelled) post();
+            report_pause_.async_wait([this, stay = stay_](auto cancelled) {
+                if (!cancelled && stay == stay_) post();
             });
         });
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -41,20 +41,26 @@
     ~Discovery();
 
     void start();
+    /// Another agent takes the place of the present one.
+    void move_to(const Tcp::endpoint& address);
     /// Posted until it is answered 204.
     void report(MessageId id, const Notice& notice);
     bool all_confirmed() const { return notices_.empty(); }
 
 private:
+    void leave();
     void watch();
     bool watched(const std::string& body);
     void post();
 
+    asio::io_context& io_;
+    Tcp::endpoint address_;
     Told told_;
     Confirmed confirmed_;
-    std::optional<std::int64_t> revision_;  // none before the first whole list
-    std::unique_ptr<AgentConnection> watch_, reports_;
+    std::optional<std::int64_t> revision_;  // none before the first whole list of this agent
+    std::shared_ptr<AgentConnection> watch_, reports_;
     asio::steady_timer watch_pause_, report_pause_;
+    std::uint64_t stay_ = 0;  // with this agent: pauses of an earlier one end in nothing
     bool posting_ = false;
     std::map<MessageId, Notice> notices_;
 };
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -228,6 +228,11 @@
     discovery_.report(id, notice);
 }
 
+void Forwarder::reload(const Config& fresh) {
+    const Sender checked(fresh.settings, fresh.seed);  // it knows best which settings make no sense
+    discovery_.move_to(fresh.discovery);
+}
+
 void Forwarder::drain() {
     if (std::exchange(draining_, true)) return;
     drain_step_.expires_after(kHandOver);
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -21,6 +21,9 @@
     Forwarder(asio::io_context& io, Config config);
 
     void start();
+    /// Takes over what may change while it runs: the address of discovery. Throws where `fresh` makes no
+    /// sense.
+    void reload(const Config& fresh);
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void drain();
 
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -232,8 +232,8 @@
     }
 
     void start() {
-        const auto path = (folder_.path() / "config.json").string();
-        std::ofstream(path) << config_.dump();
+        const std::string path = config_path().string();
+        write_config(config_.dump());
         std::filesystem::create_directories(state());
         pid_ = fork();
         if (pid_ == 0) {
@@ -257,6 +257,11 @@
     }
     void kill() { ::kill(pid_, SIGKILL); }
     void terminate() { ::kill(pid_, SIGTERM); }
+    /// Puts another file in the place of the configuration and tells the program.
+    void reload(const std::string& text) {
+        write_config(text);
+        ::kill(pid_, SIGHUP);
+    }
     /// How it ended, as waitpid tells it.
     int wait() {
         int status = 0;
@@ -279,9 +284,24 @@
         std::ifstream stream(log_path());
         return {std::istreambuf_iterator<char>(stream), {}};
     }
+    bool logs(const std::string& text) const {
+        const auto until = std::chrono::steady_clock::now() + kDeadline;
+        while (log().find(text) == std::string::npos) {
+            if (std::chrono::steady_clock::now() > until) return false;
+            std::this_thread::sleep_for(10ms);
+        }
+        return true;
+    }
     Json& config() { return config_; }
 
 private:
+    std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
+    void write_config(const std::string& text) const {
+        const auto fresh = folder_.path() / "config.new";
+        std::ofstream(fresh) << text;
+        std::filesystem::rename(fresh, config_path());
+    }
+
     TemporaryFolder folder_;
     Json config_;
     Tcp::endpoint address_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,60 +1,9 @@
 // The built program between stub sockets: clients, targets and discovery.
-#include "net/journal.hpp"
-#include "net_helpers.hpp"
+#include "node_fixture.hpp"
 
 namespace lockgw {
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
-Json member(const std::string& id, const std::string& address, int cell, const char* phase = "in_service") {
-    return {{"id", id}, {"host_port", address}, {"locality", "a"}, {"flavor", "shop"}, {"cell", cell},
-        {"phase", phase}, {"size", 1.0}, {"up_since_ms", 0}};
-}
-Json list(int revision, bool complete, const std::vector<Json>& members) {
-    return {{"revision", revision}, {"complete", complete}, {"members", members}};
-}
-
-/// A forwarder, one target of destination 7 that its first list names, and discovery.
-class NodeTest : public ::testing::Test {
-protected:
-    NodeTest() : node(make_config("127.0.0.1:1", agent.address())) {
-        node.config()["known"] = list(1, true, {member("s-1", target.address(), 7)});
-    }
-
-    /// Requests to discovery come on two connections: this passes over those of the other kind.
-    Exchange agent_request(const std::string& path) {
-        while (true) {
-            Exchange exchange = agent.next();
-            const auto target_text = exchange.request.target();
-            if (std::string(target_text.data(), target_text.size()).starts_with(path)) return exchange;
-            if (path == "/reports") watches.push_back(exchange);
-        }
-    }
-    std::vector<Json> notices(const Exchange& report) {
-        std::vector<Json> lines;
-        std::istringstream stream(report.request.body());
-        for (std::string text; std::getline(stream, text);) lines.push_back(Json::parse(text));
-        return lines;
-    }
-    static void tell(const Exchange& watch, const Json& told) {
-        const std::string body = told.dump();
-        watch.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    }
-    std::string enqueue(Client& client, const std::string& id, const std::string& kind = "safe",
-        int left_ms = 30000, const std::string& body = "BODY", int destination = 7) {
-        return client.ask({"ENQUEUE", "0000000000000000", id,
-            "c=" + kind + ",t=acme,d=" + std::to_string(left_ms) +
-                ",k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination),
-            body});
-    }
-
-    HttpStub agent, target;
-    Node node;
-    std::vector<Exchange> watches;  // left unanswered
-    const std::string id = "9b1f03aa5c7e2d41";
-};
-
 TEST_F(NodeTest, DeliversUnchangedOverOneConnection) {
     node.config()["settings"]["family_info"]["slots"] = 1;  // the second call follows the first answer
     node.start_ready();
