--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -122,7 +122,8 @@
     NoConnection,
     ConnectionLost,
     CalledOff,
-    NotSent
+    NotSent,
+    Unreadable  ///< an answer came, and it was spoilt: it may have run
 };
 struct LoadReport {
     double left = 0.0;   ///< share of the limit that is left
@@ -198,8 +199,12 @@
 struct Log {
     std::string text;
 };
+/// Nothing here names the endpoint any more, and it is no longer listed. Its number must not be used again.
+struct Forget {
+    EndpointId endpoint = 0;
+};
 using Action = std::variant<Send, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, TellPeers, Watch,
-    FetchList, Log>;
+    FetchList, Log, Forget>;
 
 /// The decisions of one sender. Feed every event to observe(), then call decide() once for the batch and
 /// carry out the actions in order. Late or unknown message ids are passed over.
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,22 +31,24 @@
 constexpr double kRiseRoom = 0.3;     // more with the told share of the limit that is left
 constexpr double kLeastGain = 0.5;    // half an even part is always there while others keep to theirs
 
-constexpr double kUsualBlend = 0.05;    // the usual time to answer moves slowly, so slowness shows against it
-constexpr double kUsualClip = 3.0;      // one long call counts as at most so many usual ones
-constexpr double kSilentTimes = 5.0;    // summed waiting without a success, in usual times: exp(-5) by chance
-constexpr Time kLeastUsual{50'000};     // floor of the usual time, against a sweep's coarseness
-constexpr Time kFirstUsual{500'000};    // before any answer is known
-constexpr double kRateBlend = 0.1;      // the own rate of successes: about the last ten
-constexpr double kRateClip = 50.0;      // answers that come together are no rate of thousands a second
-constexpr double kFailBlend = 0.3;      // two failures in a row from clean make 0.51
-constexpr double kNewsAge_s = 4.0;      // outcomes older than this tell little of now: one failure trips
-constexpr Time kLongWait{2'500'000};    // no limit makes wait so long: shut, and it opens then
-constexpr double kRoomLeft = 0.9;       // refused with so much of the limit left: shut too
-constexpr Time kSlowConnect{500'000};   // a connect that fails later found nobody: not an allowance used up
-constexpr double kFailTrip = 0.5;       // most calls failing: an outage
-constexpr double kFragileBar = 0.2;     // above this share of failures fragile messages wait
-constexpr int kShutRefusals = 3;        // refusals in a row with no success between: shut, not above a limit
-constexpr double kBudgetUse = 0.9;      // part of the fall-back budget used; limits lie below the capacity
+constexpr double kUsualBlend = 0.05;   // the usual time to answer moves slowly, so slowness shows against it
+constexpr double kUsualClip = 3.0;     // one long call counts as at most so many usual ones
+constexpr double kSilentTimes = 5.0;   // summed waiting without a success, in usual times: exp(-5) by chance
+constexpr Time kLeastUsual{50'000};    // floor of the usual time, against a sweep's coarseness
+constexpr Time kFirstUsual{500'000};   // before any answer is known
+constexpr double kRateBlend = 0.1;     // the own rate of successes: about the last ten
+constexpr double kRateClip = 50.0;     // answers that come together are no rate of thousands a second
+constexpr double kFailBlend = 0.3;     // two failures in a row from clean make 0.51
+constexpr double kNewsAge_s = 4.0;     // outcomes older than this tell little of now: one failure trips
+constexpr Time kLongWait{2'500'000};   // no limit makes wait so long: shut, and it opens then
+constexpr double kRoomLeft = 0.9;      // refused with so much of the limit left: shut too
+constexpr Time kSlowConnect{500'000};  // a connect that fails later found nobody: not an allowance used up
+constexpr double kFailTrip = 0.5;      // most calls failing: an outage
+constexpr double kSpoiltBlend =
+    0.1;                             // a spoilt answer: seven in a row trip, one in ten among good ones never
+constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
+constexpr int kShutRefusals = 3;     // refusals in a row with no success between: shut, not above a limit
+constexpr double kBudgetUse = 0.9;   // part of the fall-back budget used; limits lie below the capacity
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
 constexpr double kLeastTrials = 3.0;   // all senders together try so often in a fall-back window, at least
@@ -67,6 +69,8 @@
 constexpr double kLeastDrain = 0.5;     // messages a second that any destination is expected to take
 constexpr Time kLongStall{60'000'000};  // a stall longer than any deadline is as good as this
 constexpr Time kQuotaBurst{1'000'000};  // a tenant's quota may come this far at once
+constexpr Time kTidyGap{1'000'000};     // what has gone is looked for at most so often
+constexpr Time kStateAge{60'000'000};   // what was learned of a destination tells nothing after this
 constexpr Time kWatchGap{500'000};      // first pause after a failed list call; doubles
 constexpr int kWatchDoublings = 4;
 
@@ -210,6 +214,7 @@
             for (auto& [id, endpoint] : endpoints_) {
                 endpoint.condition = Condition::Gone;
                 destinations_.at(endpoint.destination).endpoints.erase(id);
+                gone_.insert(id);
             }
         for (const ListEntry& entry : event.entries) list(entry);
     }
@@ -290,12 +295,20 @@
         }
         close_idle(now);
         set_timer(now);
+        if (now >= tidy_at_) tidy(now);
         return std::move(actions_);
     }
 
 private:
     void list(const ListEntry& entry) {
         Endpoint& endpoint = endpoints_[entry.endpoint];
+        if (entry.condition == Condition::Gone)
+            gone_.insert(entry.endpoint);
+        else
+            gone_.erase(entry.endpoint);
+        if (endpoint.destination != entry.destination)  // moved, or new
+            if (const auto before = destinations_.find(endpoint.destination); before != destinations_.end())
+                before->second.endpoints.erase(entry.endpoint);
         endpoint.destination = entry.destination;
         endpoint.zone = entry.zone;
         endpoint.kind = entry.kind;
@@ -311,6 +324,31 @@
         if (route.known == 0.0) route.known = entry.rate;
     }
 
+    // Targets come and go for as long as a process lives: what nothing names any more is forgotten. An
+    // endpoint is named by a list, a call or a doubt; a destination by an endpoint, a message or what is
+    // still worth knowing of it.
+    void tidy(Time now) {
+        tidy_at_ = now + kTidyGap;
+        std::set<EndpointId> doubted;
+        for (const auto& [id, message] : messages_)
+            if (message.doubt_at) doubted.insert(*message.doubt_at);
+        std::erase_if(gone_, [&](EndpointId id) {
+            if (endpoints_.at(id).in_flight > 0 || doubted.contains(id)) return false;
+            endpoints_.erase(id);
+            actions_.emplace_back(Forget{id});
+            return true;
+        });
+        std::set<DestinationId> named;
+        for (const auto& [id, endpoint] : endpoints_) named.insert(endpoint.destination);
+        std::erase_if(destinations_, [&](const auto& entry) {
+            const auto& [id, destination] = entry;
+            const Time last = std::max({destination.asked_at, destination.last_served,
+                destination.shared.wait_until, destination.shared.limit_tag});
+            return !named.contains(id) && destination.held.empty() && destination.in_flight == 0 &&
+                   last + kStateAge <= now;
+        });
+    }
+
     // The tags of the head: R = max(R+1/r, now), L = max(L+1/l, now), P = max(P+1/w, now-sigma/w). They
     // stepped when the last head left; here the arrival time comes in, and P shifts so that all start level.
     void activate(Destination& newcomer, Time now) {
@@ -592,6 +630,7 @@
         Route& route = route_of(endpoint);
         if (report && report->limit > 0) route.known = report->limit;
         if (outcome == Outcome::CalledOff) return;  // our own doing: it says nothing new
+        if (outcome == Outcome::Unreadable) return spoil(endpoint, now);
         if (outcome == Outcome::Served) return succeed(id, report ? report->left : 0.0, rtt, now);
         if (outcome == Outcome::TurnedAway) lower_limit(route, endpoint, now);
         const bool shut = outcome == Outcome::TurnedAway &&
@@ -613,6 +652,14 @@
         if (endpoint.health == Health::Returning || endpoint.failing > kFailTrip) fall_sick(endpoint, now);
     }
 
+    // It took the call and answered: no sign of an outage, unless hardly any other answer comes.
+    void spoil(Endpoint& endpoint, Time now) {
+        endpoint.failing += kSpoiltBlend * (1.0 - endpoint.failing);
+        if (endpoint.failing <= kFailTrip || endpoint.health != Health::Well) return;
+        endpoint.failure_seen = true;
+        fall_sick(endpoint, now);
+    }
+
     // How much the newest outcome weighs in the share of failures: more where the ones before are old.
     double news(Endpoint& endpoint, Time now) {
         const double age = seconds(now - std::exchange(endpoint.heard, now));
@@ -904,6 +951,7 @@
     std::vector<Time> quota_tags_;   // by tenant
     std::vector<Time> unconnected_;  // by kind, the last connect that was refused
     std::set<EndpointId> freed_;     // calls ended there in this batch
+    std::set<EndpointId> gone_;      // no longer listed, and not forgotten yet
     std::vector<Action> actions_;
     std::uint64_t arrivals_ = 0, call_count_ = 0;
     double overall_usual_ = 0.0;
@@ -911,6 +959,7 @@
     Time watch_at_ = kNever;
     int watch_tries_ = 0;
     Time timer_at_{kLongAgo};
+    Time tidy_at_{kLongAgo};
 };
 
 Sender::Sender(Settings settings, std::uint64_t seed)
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,6 +1,5 @@
 #include "clients.hpp"
 
-#include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -17,9 +16,18 @@
 
 namespace {
 
-constexpr auto kLinger = 500ms;        // a client is given so long to read a last -ERR
-constexpr auto kAcceptPause = 20ms;    // after a failed accept, such as one for want of descriptors
-constexpr double kLongestMs = 86.4e6;  // a day: no class keeps a message so long
+constexpr auto kAcceptPause = 20ms;  // after a failed accept, such as one for want of descriptors
+constexpr auto kSweep = 200ms;
+constexpr auto kSilent = 2s;      // a client that has asked for nothing is waited for so long,
+constexpr auto kUnfinished = 2s;  // so long for the rest of a command,
+constexpr auto kUnread = 2s;      // so long for a client to take its answer,
+constexpr auto kLinger = 500ms;   // and so long for it to read a last -ERR
+constexpr auto kIdle = std::chrono::seconds(60);          // between requests; where room is short only
+constexpr auto kIdleWhenShort = std::chrono::seconds(2);  // so long
+constexpr auto kJustConnected = 100ms;                    // its request is likely on the way
+constexpr std::size_t kBufferShare = 8;                   // of the memory: for commands that have not ended
+constexpr std::size_t kMostDiscarded = 256 * 1024;        // of what follows a last -ERR
+constexpr double kLongestMs = 86.4e6;                     // a day: no class keeps a message so long
 constexpr std::size_t kLongestKey = 128;
 
 template <class T>
@@ -76,7 +84,8 @@
     message.destination = number_of<std::int64_t>(value("dest"), "dest");
     const auto left_ms = number_of<double>(value("d"), "d");
     if (!(left_ms >= 0 && left_ms <= kLongestMs)) throw BadInput("bad number for d");
-    left = cometspoke::settings::from_ms(left_ms);
+    // no message of the class may be delivered for longer, whatever its client says
+    left = std::min(cometspoke::settings::from_ms(left_ms), config.settings.classes[index].deadline);
     message.deadline = now + left;
     message.body = command[4];
     return message;
@@ -85,85 +94,139 @@
 /// One connection: reads a command, has it answered, writes the answer, and only then goes on.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
 public:
-    ClientSession(Tcp::socket socket, Clients& owner)
-        : socket_(std::move(socket)), linger_(socket_.get_executor()), owner_(owner) {}
-
-    void read() {
-        reading_ = true;
-        socket_.async_read_some(
-            asio::buffer(in_), [self = shared_from_this()](auto failed, std::size_t count) {
-                self->reading_ = false;
-                if (failed) return self->close();
-                self->used_ = Clock::now();
-                self->parser_.feed({self->in_.data(), count});
-                self->next();
-            });
-        owner_.accept();  // idle now: at the limit its place may go to a client that waits
+    using State = Clients::State;
+
+    ClientSession(Tcp::socket socket, Clients& owner) : socket_(std::move(socket)), owner_(owner) {}
+
+    void start() {
+        boost::system::error_code ignored;
+        socket_.set_option(Tcp::no_delay(true), ignored);
+        socket_.non_blocking(true, ignored);
+        auto& silent = owner_.sessions_[state_];
+        place_ = silent.insert(silent.end(), shared_from_this());
+        ++owner_.count_;
+        await();
     }
 
-    /// Between requests: nothing asked for is unanswered, nothing has come that is unread.
-    bool idle() {
+    Clock::time_point since() const { return since_; }
+    /// Something has come that is not read yet: to close now would lose a request.
+    bool unread() {
         boost::system::error_code failed;
-        return reading_ && !parser_.midway() && socket_.available(failed) == 0;
+        return socket_.available(failed) > 0;
     }
-    Clock::time_point used() const { return used_; }
 
     void close() {
+        if (closed_) return;
+        closed_ = true;
         boost::system::error_code ignored;
         socket_.close(ignored);
-        linger_.cancel();
-        owner_.leave(shared_from_this());
+        const auto self = shared_from_this();
+        owner_.sessions_[state_].erase(place_);
+        --owner_.count_;
+        owner_.buffered_ -= std::exchange(buffered_, 0);
+        owner_.accept();
+    }
+
+    /// A last answer, and a close once it is written.
+    void turn_away(const std::string& why) {
+        last_ = true;
+        parser_ = resp::Parser();
+        count_buffered();
+        write(resp::error("ERR " + why));
     }
 
 private:
+    void enter(State state) {
+        since_ = Clock::now();
+        auto& place = owner_.sessions_[state];
+        place.splice(place.end(), owner_.sessions_[state_], place_);
+        state_ = state;
+    }
+
+    /// No buffer of its own: many connections are silent.
+    void await() {
+        if (std::exchange(awaiting_, true)) return;
+        socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](auto failed) {
+            self->awaiting_ = false;
+            if (self->closed_) return;
+            failed ? self->close() : self->take();
+        });
+    }
+    void take() try {
+        boost::system::error_code failed;
+        const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+        if (failed == asio::error::would_block) return await();
+        if (failed) return close();
+        if (last_) return discard(count);
+        parser_.feed({owner_.in_.data(), count});
+        next();
+    } catch (const std::exception& fault) {
+        std::cerr << "client: " << fault.what() << '\n';
+        close();
+    }
+
     void next() try {
         const auto command = parser_.next();
-        if (command)
+        count_buffered();
+        if (command) {
+            enter(State::Asked);
             return owner_.handle(
-                *command, [self = shared_from_this()](std::string text) { self->write(std::move(text)); });
-        if (owner_.draining_ && !parser_.midway()) {
-            boost::system::error_code failed;
-            if (socket_.available(failed) == 0) return close();
+                *command, [self = shared_from_this()](std::string text) { self->answer(std::move(text)); });
+        }
+        if (parser_.midway()) {
+            if (state_ != State::Partly) enter(State::Partly);
+            owner_.bound_buffers();
+            if (last_) return;
+        } else {
+            if (owner_.draining_ && !unread()) return close();
+            if (state_ != State::Silent) enter(State::Idle);
+            owner_.accept();  // at the limit its place may go to a client that waits
+            if (closed_) return;
         }
-        read();
+        await();
     } catch (const resp::Unreadable& bad) {
-        last_ = true;
-        write(resp::error(std::string("ERR ") + bad.what()));
+        turn_away(bad.what());
     }
 
+    void count_buffered() {
+        owner_.buffered_ += parser_.held() - buffered_;
+        buffered_ = parser_.held();
+    }
+
+    void answer(std::string text) {
+        if (!closed_) write(std::move(text));
+    }
     void write(std::string text) {
+        enter(State::Writing);
         out_ = std::move(text);
         asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](auto failed, std::size_t) {
+            if (self->closed_) return;
             if (failed) return self->close();
-            if (self->last_) return self->finish();
-            self->next();
+            self->last_ ? self->finish() : self->next();
         });
     }
 
-    /// Closing with bytes unread would reset the connection and take the -ERR with it.
+    /// Closing with bytes unread would reset the connection and might take the -ERR with it.
     void finish() {
+        enter(State::Leaving);
         boost::system::error_code ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        linger_.expires_after(kLinger);
-        linger_.async_wait([self = shared_from_this()](auto cancelled) {
-            if (!cancelled) self->close();
-        });
-        discard();
+        await();
     }
-    void discard() {
-        socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](auto failed, std::size_t) {
-            failed ? self->close() : self->discard();
-        });
+    void discard(std::size_t count) {
+        discarded_ += count;
+        discarded_ > kMostDiscarded ? close() : await();
     }
 
     Tcp::socket socket_;
-    asio::steady_timer linger_;
     Clients& owner_;
+    State state_ = State::Silent;
+    Clients::Sessions::iterator place_;
+    Clock::time_point since_ = Clock::now();
     resp::Parser parser_;
-    std::array<char, 16 * 1024> in_{};
     std::string out_;
-    bool reading_ = false, last_ = false;
-    Clock::time_point used_ = Clock::now();
+    std::size_t buffered_ = 0, discarded_ = 0;
+    bool awaiting_ = false, last_ = false, closed_ = false;
 };
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Enqueue enqueue)
@@ -172,7 +235,8 @@
       most_(most_connections),
       enqueue_(std::move(enqueue)),
       acceptor_(io),
-      pause_(io) {}
+      pause_(io),
+      sweep_(io) {}
 Clients::~Clients() = default;
 
 void Clients::listen() {
@@ -182,10 +246,12 @@
     acceptor_.listen();
     acceptor_.non_blocking(true);
     accept();
+    sweep();
 }
 
 void Clients::accept() {
-    if (draining_ || !make_room() || accepting_) return;  // room is made by a close, which may accept too
+    if (draining_ || accepting_ || !make_room()) return;  // room is made by a close, which may accept too
+    if (accepting_) return;
     accepting_ = true;
     acceptor_.async_accept([this](auto failed, Tcp::socket socket) {
         accepting_ = false;
@@ -202,21 +268,48 @@
 }
 
 void Clients::accepted(Tcp::socket socket) {
-    boost::system::error_code ignored;
-    socket.set_option(Tcp::no_delay(true), ignored);
-    const auto session = std::make_shared<ClientSession>(std::move(socket), *this);
-    sessions_.insert(session);
-    session->read();
+    std::make_shared<ClientSession>(std::move(socket), *this)->start();
 }
 
-/// At the limit the idle connection used longest ago goes; while none is idle, none is accepted.
+/// At the limit one that has its answer or has asked for nothing goes, the longest so first; half a command
+/// and what was just connected come last, and one with a request open never goes.
 bool Clients::make_room() {
-    if (sessions_.size() < most_) return true;
-    std::shared_ptr<ClientSession> oldest;
-    for (const auto& session : sessions_)
-        if (session->idle() && (!oldest || session->used() < oldest->used())) oldest = session;
-    if (oldest) oldest->close();
-    return sessions_.size() < most_;
+    if (count_ < most_) return true;
+    return close_first(Leaving, 0s) || close_first(Silent, kJustConnected) ||
+           close_first(Idle, kIdleWhenShort) || close_first(Partly, kUnfinished / 4) ||
+           close_first(Idle, 0s) || close_first(Silent, 0s);
+}
+/// The one that came to this state first, if that is so long ago.
+bool Clients::close_first(State state, Clock::duration rest) {
+    Sessions& all = sessions_[state];
+    if (all.empty()) return false;
+    const auto session = all.front();
+    if (Clock::now() - session->since() < rest) return false;
+    if ((state == Silent || state == Idle) && session->unread()) return false;
+    session->close();
+    return true;
+}
+
+/// Many that each send half of a long command must not fill the memory.
+void Clients::bound_buffers() {
+    const std::size_t most = config_.memory_bytes / kBufferShare;
+    while (buffered_ > most && !sessions_[Partly].empty())
+        std::shared_ptr(sessions_[Partly].front())->turn_away("too much at once");
+}
+
+/// What is owed to every connection in time: an answer or a close.
+void Clients::sweep() {
+    while (close_first(Silent, kSilent)) continue;
+    while (close_first(Writing, kUnread)) continue;
+    while (close_first(Leaving, kLinger)) continue;
+    while (close_first(Idle, count_ > most_ / 2 ? kIdleWhenShort : kIdle)) continue;
+    Sessions& partly = sessions_[Partly];
+    while (!partly.empty() && Clock::now() - partly.front()->since() >= kUnfinished)
+        std::shared_ptr(partly.front())->turn_away("a command without an end");
+    sweep_.expires_after(kSweep);
+    sweep_.async_wait([this](auto cancelled) {
+        if (!cancelled) sweep();
+    });
 }
 
 void Clients::drain() {
@@ -224,15 +317,17 @@
     draining_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
-    const auto all = sessions_;
-    for (const auto& session : all)
-        if (session->idle()) session->close();
+    for (const State state : {Silent, Idle}) {
+        const Sessions all = sessions_[state];
+        for (const auto& session : all)
+            if (!session->unread()) session->close();
+    }
 }
 
 /// Closing the listener resets connections that wait in its queue, with the requests written to them.
 void Clients::accept_waiting() {
     boost::system::error_code failed;
-    while (sessions_.size() < most_) {
+    while (count_ < most_) {
         Tcp::socket socket = acceptor_.accept(failed);
         if (failed) return;
         accepted(std::move(socket));
@@ -258,9 +353,4 @@
     enqueue_(std::move(message), left, answer);
 }
 
-void Clients::leave(const std::shared_ptr<ClientSession>& session) {
-    sessions_.erase(session);
-    accept();
-}
-
 }  // namespace lockgw
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -39,7 +39,10 @@
     const auto disk_mb = field<double>(limits, "disk_mb");
     if (sockets < 64) throw BadInput("limits.sockets is under 64");
     if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadInput("limits.disk_mb makes no sense");
+    const auto memory_mb = value_or(limits, "memory_mb", 64.0);
+    if (!(memory_mb > 0 && memory_mb < 1e9)) throw BadInput("limits.memory_mb makes no sense");
     config.sockets = static_cast<std::size_t>(sockets);
+    config.memory_bytes = static_cast<std::size_t>(memory_mb * 1024 * 1024);
     config.disk_bytes = static_cast<std::size_t>(disk_mb * 1024 * 1024);
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -25,6 +25,7 @@
     std::filesystem::path state;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;  ///< most descriptors of the process
+    std::size_t memory_bytes = 64 << 20;
     std::size_t disk_bytes = 0;  ///< room in `state`
     std::optional<Udp::endpoint> peer_listen, peers_all;
     std::vector<Udp::endpoint> peers;  ///< by their numbers, its own among them
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -36,7 +36,9 @@
     Target target;
     target.id = field<std::string>(member, "id");
     target.condition = condition_of(field<std::string>(member, "phase"));
-    target.address = tcp_endpoint(field<std::string>(member, "host_port"), "host_port");
+    // that a target goes must be heeded even where its address makes no sense any more
+    if (target.condition == Condition::Ready)
+        target.address = tcp_endpoint(field<std::string>(member, "host_port"), "host_port");
     target.zone = value_or<std::string>(member, "locality", "");
     target.kind = value_or<std::string>(member, "flavor", "");
     target.destination = field<std::int64_t>(member, "cell");
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -16,17 +16,26 @@
 constexpr auto kHandOver = 450ms;   // new connections come for 0.4 s after SIGTERM
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
-constexpr std::size_t kMostEndpoints = 100'000;  // names ever told by discovery
-constexpr std::size_t kOtherDescriptors = 32;    // of the process beside clients and targets
+constexpr std::size_t kOtherDescriptors = 32;  // of the process beside clients and targets
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
 Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
 
-std::size_t most_target_connections(const Config& config) { return config.sockets / 4; }
+/// As many as there are calls out, and some that rest between calls; never more than clients leave.
+std::size_t most_target_connections(const Config& config) {
+    const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
+    return std::min(wanted, (config.sockets - kOtherDescriptors) / 2);
+}
 std::size_t most_client_connections(const Config& config) {
     return config.sockets - most_target_connections(config) - kOtherDescriptors;
 }
 
+/// The module must not count on more calls than there are descriptors for.
+Config within_descriptors(Config config) {
+    config.settings.slots = std::min(config.settings.slots, most_target_connections(config));
+    return config;
+}
+
 std::string busy(milliseconds wait) {
     return resp::error(wait > 0ms ? "BUSY " + std::to_string(wait.count()) : "BUSY");
 }
@@ -39,14 +48,17 @@
 
 Forwarder::Forwarder(asio::io_context& io, Config config)
     : io_(io),
-      config_(std::move(config)),
+      config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes),
       sender_(config_.settings, config_.seed),
       targets_(io, config_, most_target_connections(config_),
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
           io, config_,
-          [this](const TargetList& told) { list(told, told.complete ? ListKind::Full : ListKind::Changes); },
+          [this](const TargetList& told) {
+              whole_list_ = whole_list_ || told.complete;
+              list(told, told.complete ? ListKind::Full : ListKind::Changes);
+          },
           [this](MessageId id) {
               journal_.confirmed(id);
               stop_if_done();
@@ -96,30 +108,36 @@
         event.left = message.deadline - wall;
         event.attempts = entry->attempts;
         if (const auto& first = entry->may_have_run())
-            event.doubt = MessageEvent::Doubt{wall - first->since, endpoint_of(first->target)};
+            event.doubt = MessageEvent::Doubt{wall - first->since, directory_.number_of(first->target)};
         observe(event);
     }
 }
 
-void Forwarder::list(const TargetList& told, ListKind kind) {
+void Forwarder::list(TargetList told, ListKind kind) {
+    std::erase_if(told.targets, [this](const Target& target) {
+        const bool known = (target.zone.empty() || config_.names.zones.contains(target.zone)) &&
+                           (target.kind.empty() || config_.names.kinds.contains(target.kind));
+        if (!known) std::cerr << "discovery: passed over " << target.id << " of an unknown kind or place\n";
+        return !known;
+    });
+    const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
+    for (const EndpointId endpoint : gone) targets_.forget(endpoint);
     ListEvent event;
     event.kind = kind;
-    const auto index = [](const settings::Index& names, const std::string& name, const char* what) {
-        return name.empty() ? 0 : settings::index_of(names, name, what);
-    };
-    for (const Target& target : told.targets) try {
-            ListEntry entry;
-            entry.zone = index(config_.names.zones, target.zone, "locality");
-            entry.kind = index(config_.names.kinds, target.kind, "flavor");
-            entry.endpoint = endpoint_of(target.id);
-            entry.destination = target.destination;
-            entry.rate = target.rate;
-            entry.condition = target.condition;
-            targets_.set_address(entry.endpoint, target.address);
-            event.entries.push_back(entry);
-        } catch (const settings::BadInput& bad) {
-            std::cerr << "discovery: passed over an entry: " << bad.what() << '\n';
-        }
+    for (const Target& target : told.targets) {
+        const auto endpoint = directory_.find(target.id);
+        if (!endpoint) continue;  // it went before it was ever listed here
+        ListEntry entry;
+        if (!target.zone.empty()) entry.zone = config_.names.zones.at(target.zone);
+        if (!target.kind.empty()) entry.kind = config_.names.kinds.at(target.kind);
+        entry.endpoint = *endpoint;
+        entry.destination = target.destination;
+        entry.rate = target.rate;
+        entry.condition = target.condition;
+        if (target.condition == Condition::Ready) targets_.set_address(*endpoint, target.address);
+        if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
+        event.entries.push_back(entry);
+    }
     observe(event);
 }
 
@@ -135,7 +153,9 @@
     }
     // A client that met a closed connection hands the same id in once more: it is held already.
     if (journal_.find(id) != nullptr) return answer(resp::simple("OK"));
-    if (held() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
+    if (!directory_.has(message.destination, std::chrono::steady_clock::now()) && !directory_.blank())
+        return answer(whole_list_ ? resp::error("ERR unknown destination") : busy(kRoomWait));
+    if (journal_.unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
     MessageEvent event;
     event.message = id;
     event.destination = message.destination;
@@ -169,34 +189,46 @@
     turn_due_ = false;
     const std::vector<Action> actions = sender_.decide(now());
     answer_newcomers(actions);
-    for (const Action& action : actions) std::visit([this](const auto& one) { carry_out(one); }, action);
+    for (const Action& action : actions)
+        guarded([&] { std::visit([this](const auto& one) { carry_out(one); }, action); });
+}
+
+/// A fault in one action must not take the others of its turn with it, the timer least of all.
+template <class Step>
+void Forwarder::guarded(Step step) try {
+    step();
+} catch (const std::exception& fault) {
+    std::cerr << "lockgw: " << fault.what() << '\n';
 }
 
 /// Before any call goes out: a message is delivered only if its client has heard that it was taken on.
 void Forwarder::answer_newcomers(const std::vector<Action>& actions) {
+    std::map<MessageId, std::string> ends;
+    for (const Action& action : actions) {
+        if (const auto* refuse = std::get_if<Refuse>(&action))
+            ends.emplace(
+                refuse->message, busy(std::chrono::duration_cast<milliseconds>(refuse->retry_after)));
+        else if (const auto* fail = std::get_if<Fail>(&action))
+            ends.emplace(fail->message, resp::error("ERR out of time"));
+    }
     for (const auto& [id, newcomer] : std::exchange(newcomers_, {}))
-        newcomer.answer(answer_for(newcomer, actions));
+        guarded([&] {
+            const auto end = ends.find(id);
+            newcomer.answer(end != ends.end() ? end->second : take_on(newcomer.message));
+        });
 }
 
-std::string Forwarder::answer_for(const Newcomer& newcomer, const std::vector<Action>& actions) {
-    const MessageId id = newcomer.message.id;
-    for (const Action& action : actions) {
-        const auto* refuse = std::get_if<Refuse>(&action);
-        if (refuse != nullptr && refuse->message == id)
-            return busy(std::chrono::duration_cast<milliseconds>(refuse->retry_after));
-        const auto* fail = std::get_if<Fail>(&action);
-        if (fail != nullptr && fail->message == id) return resp::error("ERR out of time");
-    }
-    if (journal_.take_on(newcomer.message)) return resp::simple("OK");
-    observe(AbandonedEvent{id});
+std::string Forwarder::take_on(const Message& message) {
+    if (journal_.take_on(message)) return resp::simple("OK");
+    observe(AbandonedEvent{message.id});
     return busy(kRoomWait);
 }
 
 void Forwarder::carry_out(const Send& send) {
-    const std::string& target = endpoint_names_.at(send.endpoint);
+    const std::string* target = directory_.name_of(send.endpoint);
     const Entry* entry = journal_.find(send.message);
     const std::uint32_t attempt = entry != nullptr ? entry->attempts : 0;
-    if (entry == nullptr || !journal_.begin_attempt(send.message, target, wall_now())) {
+    if (entry == nullptr || target == nullptr || !journal_.begin_attempt(send.message, *target, wall_now())) {
         OutcomeEvent event;
         event.message = send.message;
         event.endpoint = send.endpoint;
@@ -219,6 +251,7 @@
     });
 }
 void Forwarder::carry_out(const CloseIdle& close) { targets_.close_idle(close.endpoint); }
+void Forwarder::carry_out(const Forget& forget) { directory_.forget(forget.endpoint); }
 void Forwarder::carry_out(const TellPeers& tell) { peers_.tell(tell.to, tell.bytes); }
 void Forwarder::carry_out(const Log& log) { std::cerr << log.text << '\n'; }
 
@@ -251,19 +284,4 @@
         io_.stop();
 }
 
-EndpointId Forwarder::endpoint_of(const std::string& name) {
-    const auto found = endpoints_.find(name);
-    if (found != endpoints_.end()) return found->second;
-    if (endpoints_.size() >= kMostEndpoints) throw settings::BadInput("too many targets");
-    const auto id = static_cast<EndpointId>(endpoint_names_.size());
-    endpoint_names_.push_back(name);
-    endpoints_.emplace(name, id);
-    return id;
-}
-
-std::size_t Forwarder::held() const {
-    return static_cast<std::size_t>(std::count_if(journal_.entries().begin(), journal_.entries().end(),
-        [](const auto& entry) { return !entry.second.notice; }));
-}
-
 }  // namespace lockgw
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -8,6 +8,7 @@
 
 #include "clients.hpp"
 #include "config.hpp"
+#include "directory.hpp"
 #include "discovery.hpp"
 #include "journal.hpp"
 #include "peers.hpp"
@@ -34,13 +35,15 @@
     };
 
     void take_up();
-    void list(const TargetList& list, cometspoke::ListKind kind);
+    void list(TargetList told, cometspoke::ListKind kind);
     void enqueue(Message message, cometspoke::Time left, Clients::Answer answer);
     void outcome(const cometspoke::OutcomeEvent& event);
     void observe(const cometspoke::Event& event);
     void turn();
     void answer_newcomers(const std::vector<cometspoke::Action>& actions);
-    std::string answer_for(const Newcomer& newcomer, const std::vector<cometspoke::Action>& actions);
+    std::string take_on(const Message& message);
+    template <class Step>
+    void guarded(Step step);
     void stop_if_done();
 
     void carry_out(const cometspoke::Send& send);
@@ -49,6 +52,7 @@
     void carry_out(const cometspoke::Fail& fail);
     void carry_out(const cometspoke::SetTimer& timer);
     void carry_out(const cometspoke::CloseIdle& close);
+    void carry_out(const cometspoke::Forget& forget);
     void carry_out(const cometspoke::TellPeers& tell);
     void carry_out(const cometspoke::Log& log);
     void carry_out(const cometspoke::Probe&) {}      // not allowed on sockets
@@ -56,13 +60,11 @@
     void carry_out(const cometspoke::FetchList&) {}  // and its whole list asked for first
     void end(MessageId id, const Notice& notice);
 
-    EndpointId endpoint_of(const std::string& name);
-    std::size_t held() const;
-
     asio::io_context& io_;
     const Config config_;
     Journal journal_;
     cometspoke::Sender sender_;
+    Directory directory_;
     Targets targets_;
     Discovery discovery_;
     Peers peers_;
@@ -70,8 +72,7 @@
     asio::steady_timer timer_, drain_step_, drain_end_;
     bool turn_due_ = false, draining_ = false;
     std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
-    std::map<std::string, EndpointId> endpoints_;
-    std::vector<std::string> endpoint_names_;
+    bool whole_list_ = false;                  // discovery has told all targets once
 };
 
 }  // namespace lockgw
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -25,6 +25,9 @@
     2 * kLongestTarget + 64;        // an entry may grow by so much after it was taken on
 constexpr double kLiveShare = 0.4;  // of the room: the old file, the new one and some appending fit in it
 
+constexpr std::size_t kLeastCompaction = 512 * 1024;  // a file is written anew from this size,
+constexpr std::size_t kStaleTimes = 4;                // and so many times what it would then hold
+
 std::size_t in_blocks(std::size_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
 
 class Writer {
@@ -94,6 +97,14 @@
     }
     return writer.bytes();
 }
+/// Of its record, or a little more, without writing it: it is asked for at every change of an entry.
+std::size_t size_of(const Entry& entry) {
+    constexpr std::size_t fixed = 128;  // all numbers, times and lengths of texts
+    const Message& message = entry.message;
+    return fixed + message.message_class.size() + message.tenant.size() + message.key.size() +
+           message.body.size() + (entry.doubt ? entry.doubt->target.size() : 0) +
+           (entry.out ? entry.out->target.size() : 0);
+}
 Notice read_notice(Reader& reader) {
     const bool bounced = reader.number<std::uint8_t>() != 0;
     return {bounced, std::chrono::milliseconds(reader.number<std::int64_t>())};
@@ -191,7 +202,7 @@
     return all;
 }
 
-std::size_t Journal::cost(const Entry& entry) { return kHeader + record_of(entry).size() + kGrowth; }
+std::size_t Journal::cost(const Entry& entry) { return kHeader + size_of(entry) + kGrowth; }
 
 /// What a record says, done to the entries: the same for one just written and for one read back.
 bool Journal::apply(std::string_view record) try {
@@ -200,9 +211,12 @@
     const auto id = reader.number<MessageId>();
     if (kind == Kind::Entry) {
         Entry entry = read_entry(id, reader);
+        if (entries_.contains(id)) return false;
         entry.arrival = ++arrivals_;
         live_ += cost(entry);
-        return entries_.emplace(id, std::move(entry)).second;
+        if (!entry.notice) ++unended_;
+        entries_.emplace(id, std::move(entry));
+        return true;
     }
     const auto found = entries_.find(id);
     if (found == entries_.end()) return true;
@@ -219,9 +233,11 @@
         entry.doubt = entry.may_have_run();
         entry.out.reset();
     } else if (kind == Kind::Ended) {
+        if (!entry.notice) --unended_;
         entry.notice = read_notice(reader);
-        entry.message.body.clear();
+        std::string().swap(entry.message.body);
     } else {
+        if (!entry.notice) --unended_;
         entries_.erase(found);
         return true;
     }
@@ -270,6 +286,8 @@
 
 bool Journal::append(const std::string& record) {
     const std::string bytes = framed(record);
+    // The file counts as memory, and all of it is read at the next start.
+    if (size_ > kLeastCompaction && size_ > kStaleTimes * live_) compact();
     if ((stale_ || !room_for(bytes.size())) && !compact()) return false;
     if (!room_for(bytes.size())) return false;
     if (write_all(file_.get(), bytes)) {
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -69,6 +69,8 @@
 
     const std::map<MessageId, Entry>& entries() const { return entries_; }
     const Entry* find(MessageId id) const;
+    /// How many of the entries are messages that are still to be delivered or ended.
+    std::size_t unended() const { return unended_; }
     /// In the order in which they were taken on.
     std::vector<const Entry*> in_order() const;
 
@@ -98,6 +100,7 @@
     bool stale_ = false;    // the file lacks something: it must be written anew before the next record
     Descriptor file_;
     std::map<MessageId, Entry> entries_;
+    std::size_t unended_ = 0;
     std::uint64_t arrivals_ = 0;
 };
 
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -1,5 +1,6 @@
 #include "resp.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -19,7 +20,9 @@
             continue;
         }
         if (!argument()) return drop_read(), std::nullopt;
-        if (--missing_ == 0) return std::exchange(command_, {});
+        if (--missing_ > 0) continue;
+        command_bytes_ = 0;
+        return std::exchange(command_, {});
     }
 }
 
@@ -42,16 +45,20 @@
 }
 
 bool Parser::argument() {
-    if (!length_) length_ = header('$', kMostBytes);
+    if (!length_) length_ = header('$', std::min(kMostBytes, kMostCommand - command_bytes_));
     if (!length_ || buffer_.size() - at_ < *length_ + 2) return false;
     if (buffer_.compare(at_ + *length_, 2, "\r\n") != 0) throw Unreadable("an argument without an end");
     command_.push_back(buffer_.substr(at_, *length_));
     at_ += *length_ + 2;
+    command_bytes_ += *length_;
     length_.reset();
     return true;
 }
 
-void Parser::drop_read() { buffer_.erase(0, std::exchange(at_, 0)); }
+void Parser::drop_read() {
+    buffer_.erase(0, std::exchange(at_, 0));
+    if (buffer_.empty()) std::string().swap(buffer_);  // most connections rest between commands
+}
 
 namespace {
 
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -11,7 +11,8 @@
 namespace lockgw::resp {
 
 constexpr std::size_t kMostArguments = 16;
-constexpr std::size_t kMostBytes = 64 * 1024;  ///< of one argument: a body holds no more
+constexpr std::size_t kMostBytes = 64 * 1024;            ///< of one argument: a body holds no more
+constexpr std::size_t kMostCommand = kMostBytes + 4096;  ///< of all its arguments
 
 using Command = std::vector<std::string>;
 
@@ -29,6 +30,8 @@
     std::optional<Command> next();
     /// Whether a command has begun and not ended.
     bool midway() const { return missing_ > 0 || at_ < buffer_.size(); }
+    /// Bytes that wait for the rest of their command.
+    std::size_t held() const { return buffer_.size() + command_bytes_; }
 
 private:
     std::optional<std::size_t> header(char mark, std::size_t most);
@@ -40,6 +43,7 @@
     std::size_t missing_ = 0;            // arguments still to come
     std::optional<std::size_t> length_;  // of the argument that has begun
     Command command_;
+    std::size_t command_bytes_ = 0;  // of its arguments so far
 };
 
 std::string simple(std::string_view text);
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -3,13 +3,14 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <optional>
 #include <utility>
 
+#include "answer.hpp"
+
 namespace lockgw {
 
 namespace http = boost::beast::http;
@@ -21,69 +22,16 @@
 
 namespace {
 
-constexpr std::uint64_t kMostBody = 256 * 1024;  // an answer's body means nothing; more ends the connection
-constexpr std::uint32_t kMostHeader = 16 * 1024;
-constexpr auto kBodyWait = 1s;  // an answer's body may come so long after its head
-constexpr auto kLongestWait = std::chrono::hours(1);
-
-std::string_view text_of(boost::beast::string_view text) { return {text.data(), text.size()}; }
+constexpr auto kAnswerWait = 1s;   // from the first byte of an answer to its last
+constexpr auto kLeastWait = 60s;   // a told wait is believed so far,
+constexpr int kWaitDeadlines = 5;  // or so many of the longest deadlines
 
-std::optional<double> decimal(std::string_view text) {
-    while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
-    while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
-    double value = 0.0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
-    return value >= 0 && value < 1e9 ? std::optional(value) : std::nullopt;
-}
-
-/// "x0=0.4,x1=25"; what cannot be read is passed over.
-std::optional<cometspoke::LoadReport> report_of(std::string_view text) {
-    cometspoke::LoadReport report;
-    bool found = false;
-    while (!text.empty()) {
-        const std::string_view pair = text.substr(0, text.find(','));
-        text.remove_prefix(std::min(text.size(), pair.size() + 1));
-        const auto equals = pair.find('=');
-        if (equals == std::string_view::npos) continue;
-        const auto value = decimal(pair.substr(equals + 1));
-        const auto name = pair.substr(pair.find_first_not_of(' '), 2);
-        if (!value || (name != "x0" && name != "x1")) continue;
-        (name == "x0" ? report.left : report.limit) = *value;
-        found = true;
-    }
-    return found ? std::optional(report) : std::nullopt;
-}
-
-using Head = http::response_header<>;
-
-/// What an answer's first line and headers say, by the protocol's table.
-OutcomeEvent outcome_of(const Head& head, bool reports) {
-    OutcomeEvent event;
-    switch (head.result_int()) {
-        case 200:
-            event.outcome = Outcome::Served, event.terminal = true;
-            break;
-        case 429: {
-            event.outcome = Outcome::TurnedAway;
-            const auto wait = decimal(text_of(head[http::field::retry_after]));
-            if (wait) event.wait = std::min<Time>(kLongestWait, Time(static_cast<Time::rep>(*wait * 1e6)));
-            break;
-        }
-        case 503:
-            event.outcome = head["X-Over-Slots"] == "1" ? Outcome::NotSent : Outcome::TurnedAway;
-            break;
-        case 504:
-            event.outcome = Outcome::NotSent;
-            break;
-        case 410:
-            event.outcome = Outcome::NotSent, event.terminal = true;
-            break;
-        default:  // 500, and what no table tells: it may have run
-            event.outcome = Outcome::ServerError;
-    }
-    if (reports) event.report = report_of(text_of(head["X-Load-Report"]));
-    return event;
+/// No outage lasts so long that a longer wait would be worth heeding, and one spoilt figure must not shut a
+/// destination for good.
+Time longest_wait(const Config& config) {
+    Time longest{0};
+    for (const auto& kind : config.settings.classes) longest = std::max(longest, kind.deadline);
+    return std::max<Time>(kLeastWait, kWaitDeadlines * longest);
 }
 
 }  // namespace
@@ -109,8 +57,7 @@
         ++turn_;
         written_ = false;
         call_ = std::move(call);
-        answer_.reset();
-        buffer_.clear();
+        answer_ = Answer();
         if (socket_.is_open()) {
             socket_.cancel();  // the watch over an idle connection
             return write();
@@ -119,6 +66,7 @@
         socket_.async_connect(address_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
             socket_.set_option(Tcp::no_delay(true), failed);
+            socket_.non_blocking(true, failed);
             write();
         }));
     }
@@ -130,7 +78,7 @@
         ++turn_;
         wait_until(Clock::now() + span);
         socket_.async_wait(
-            Tcp::socket::wait_read, guarded([this](auto) { owner_.drop_idle(shared_from_this()); }));
+            Tcp::socket::wait_read, guarded([this](auto) { owner_.drop(shared_from_this()); }));
     }
     /// A close that has come and that the loop has not told yet would end the next call as a reset.
     bool still_open() {
@@ -153,8 +101,8 @@
         }));
     }
     void expire() {
-        if (!call_) return owner_.drop_idle(shared_from_this());
-        end(written_ ? Outcome::NoAnswer : Outcome::NoConnection);
+        if (!call_) return owner_.drop(shared_from_this());
+        end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     }
 
     void write() {
@@ -176,36 +124,55 @@
     }
 
     void read() {
-        parser_.emplace();
-        parser_->header_limit(kMostHeader);
-        parser_->body_limit(kMostBody);
-        http::async_read_header(socket_, buffer_, *parser_, guarded([this](auto failed) {
-            if (failed) return end(Outcome::ConnectionLost);
-            answer_ = outcome_of(parser_->get().base(), owner_.config_.reports);
-            if (parser_->is_done()) return finish();
-            // The outcome stands with the first line: it must not wait for the rest.
-            deliver(*answer_);
-            wait_until(Clock::now() + kBodyWait);
-            http::async_read(
-                socket_, buffer_, *parser_, guarded([this](auto cut) { cut ? close() : keep(); }));
-        }));
+        socket_.async_wait(
+            Tcp::socket::wait_read, guarded([this](auto failed) { failed ? ended() : take(); }));
+    }
+    void take() {
+        boost::system::error_code failed;
+        const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+        if (failed == asio::error::would_block) return read();
+        if (failed) return ended();
+        const bool first = answer_.empty();
+        switch (answer_.feed({owner_.in_.data(), count})) {
+            case Answer::State::Whole:
+                return finish();
+            case Answer::State::Spoilt:
+                return end(Outcome::Unreadable);
+            case Answer::State::Open:
+                break;
+        }
+        // An answer that has begun must end soon: it holds a slot, and some never end.
+        if (call_ && first && !answer_.empty())
+            wait_until(std::min(begun_ + call_->time_out, Clock::now() + kAnswerWait));
+        // Delivered, and the head is read: the outcome must not wait for a body that means nothing.
+        if (call_ && answer_.says_delivered() && answer_.head_read()) {
+            owner_.finishing(shared_from_this());
+            deliver(outcome());
+        }
+        read();
+    }
+    /// By the target: that may be the end of an answer which tells no length.
+    void ended() {
+        if (answer_.ended() == Answer::State::Whole) return finish();
+        end(answer_.empty() ? Outcome::ConnectionLost : Outcome::Unreadable);
     }
 
+    OutcomeEvent outcome() const { return answer_.outcome(owner_.config_.reports, owner_.longest_wait_); }
     void finish() {
         const auto self = shared_from_this();
-        const auto outcome = *answer_;
         const auto call = std::exchange(call_, std::nullopt);
-        keep();  // first: the decision on this outcome may want the connection
-        report(*call, outcome);
+        const OutcomeEvent told = outcome();
+        // first: the decision on this outcome may want the connection
+        answer_.reusable() ? owner_.now_idle(self) : owner_.drop(self);
+        if (call) report(*call, told);
     }
-    void keep() {
-        if (!parser_->get().keep_alive() || buffer_.size() > 0) return close();
-        owner_.now_idle(shared_from_this());
-    }
-    void end(Outcome outcome) {
-        close();
+    /// Nothing more is read: what has come so far decides. A first line of 200 is true by itself; no other
+    /// status proves anything unless the whole answer is sound.
+    void end(Outcome otherwise) {
         OutcomeEvent event;
-        event.outcome = outcome;
+        event.outcome = otherwise;
+        if (written_ && answer_.says_delivered()) event.outcome = Outcome::Served, event.terminal = true;
+        owner_.drop(shared_from_this());
         deliver(event);
     }
     void deliver(const OutcomeEvent& event) {
@@ -229,13 +196,15 @@
     bool written_ = false;      // the call's last byte
     Clock::time_point begun_{};
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
-    std::optional<OutcomeEvent> answer_;
-    boost::beast::flat_buffer buffer_;
+    Answer answer_;
 };
 
 Targets::Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done)
-    : io_(io), config_(config), most_(most_connections), done_(std::move(done)) {}
+    : io_(io),
+      config_(config),
+      longest_wait_(longest_wait(config)),
+      most_(most_connections),
+      done_(std::move(done)) {}
 Targets::~Targets() = default;
 
 void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address) {
@@ -245,16 +214,32 @@
     close_idle(endpoint);
 }
 
+/// Another target may get its address: no connection made to the one that has gone may carry its calls.
+void Targets::forget(EndpointId endpoint) {
+    addresses_.erase(endpoint);
+    close_idle(endpoint);
+}
+
 void Targets::start(Call call) {
     Connection connection = take_idle(call.endpoint);
+    const auto address = addresses_.find(call.endpoint);
     if (!connection) {
-        if (calls_.size() + idle_.size() >= most_) drop_oldest_idle();
-        connection = std::make_shared<TargetConnection>(*this, call.endpoint, addresses_.at(call.endpoint));
+        if (address == addresses_.end() || !make_room()) return not_sent(call);
+        connection = std::make_shared<TargetConnection>(*this, call.endpoint, address->second);
     }
     calls_.emplace(std::pair(call.message, call.attempt), connection);
     connection->start(std::move(call));
 }
 
+void Targets::not_sent(const Call& call) {
+    OutcomeEvent event;
+    event.message = call.message;
+    event.endpoint = call.endpoint;
+    event.attempt = call.attempt;
+    event.outcome = Outcome::NotSent;
+    asio::post(io_, [this, event] { done_(event); });
+}
+
 void Targets::cancel(MessageId message, std::uint32_t attempt) {
     const auto found = calls_.find({message, attempt});
     if (found != calls_.end()) Connection(found->second)->cancel();
@@ -263,7 +248,7 @@
 void Targets::close_idle(EndpointId endpoint) {
     const auto all = idle_;
     for (const Connection& connection : all)
-        if (connection->endpoint() == endpoint) drop_idle(connection);
+        if (connection->endpoint() == endpoint) drop(connection);
 }
 
 Targets::Connection Targets::take_idle(EndpointId endpoint) {
@@ -279,6 +264,7 @@
 }
 
 void Targets::now_idle(const Connection& connection) {
+    std::erase(finishing_, connection);
     const auto address = addresses_.find(connection->endpoint());
     // a tenth before the told limit: a request that crosses the target's close ends as a reset
     const auto span = config_.settings.conn_idle * 9 / 10;
@@ -288,12 +274,22 @@
     connection->idle_for(span);
 }
 
-void Targets::drop_idle(const Connection& connection) {
+void Targets::finishing(const Connection& connection) { finishing_.push_back(connection); }
+
+void Targets::drop(const Connection& connection) {
     std::erase(idle_, connection);
+    std::erase(finishing_, connection);
     connection->close();
 }
-void Targets::drop_oldest_idle() {
-    if (!idle_.empty()) drop_idle(Connection(idle_.front()));
+
+/// Under the limit of descriptors: an idle connection goes first, then one whose call has its outcome.
+bool Targets::make_room() {
+    if (calls_.size() + idle_.size() + finishing_.size() < most_) return true;
+    if (!idle_.empty())
+        drop(Connection(idle_.front()));
+    else if (!finishing_.empty())
+        drop(Connection(finishing_.front()));
+    return calls_.size() + idle_.size() + finishing_.size() < most_;
 }
 
 void Targets::ended(const Connection& connection, OutcomeEvent outcome) {
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -3,6 +3,7 @@
 /// It maps what happened to an Outcome and repeats nothing by itself.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +35,8 @@
     ~Targets();
 
     void set_address(EndpointId endpoint, const Tcp::endpoint& address);
+    /// Nothing new goes there; calls that are out are waited for.
+    void forget(EndpointId endpoint);
     /// Its outcome comes by Done, never from within this call.
     void start(Call call);
     /// Its outcome comes at once.
@@ -45,18 +48,23 @@
     using Connection = std::shared_ptr<TargetConnection>;
 
     Connection take_idle(EndpointId endpoint);
+    bool make_room();
+    void not_sent(const Call& call);
     void now_idle(const Connection& connection);
-    void drop_idle(const Connection& connection);
-    void drop_oldest_idle();
+    void finishing(const Connection& connection);
+    void drop(const Connection& connection);
     void ended(const Connection& connection, cometspoke::OutcomeEvent outcome);
 
     asio::io_context& io_;
     const Config& config_;
+    cometspoke::Time longest_wait_;
     std::size_t most_;
     Done done_;
+    std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     std::map<EndpointId, Tcp::endpoint> addresses_;
     std::map<std::pair<MessageId, std::uint32_t>, Connection> calls_;
-    std::vector<Connection> idle_;  // the one used last stands last
+    std::vector<Connection> idle_;       // the one used last stands last
+    std::vector<Connection> finishing_;  // their calls have an outcome, and their answers go on
 };
 
 }  // namespace lockgw
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -203,7 +203,12 @@
 }
 
 void Instance::reply(std::int64_t who, Time now, std::ostream& out) {
-    for (const Action& action : sender_->decide(now)) out << json_of(action, who).dump() << '\n';
+    for (const Action& action : sender_->decide(now)) {
+        if (const auto* forget = std::get_if<Forget>(&action))
+            endpoints_.erase(endpoint_names_.at(forget->endpoint));
+        else
+            out << json_of(action, who).dump() << '\n';
+    }
 }
 
 namespace {
--- a/tests/node_fixture.hpp
+++ b/tests/node_fixture.hpp
@@ -23,7 +23,8 @@
 class NodeTest : public ::testing::Test {
 protected:
     NodeTest() : node(make_config("127.0.0.1:1", agent.address())) {
-        node.config()["known"] = list(1, true, {member("s-1", target.address(), 7)});
+        node.config()["known"] = list(1, true,
+            {member("s-1", target.address(), 7), member("s-99", target.address(), 99, "terminating")});
     }
 
     /// Requests to discovery come on two connections: this passes over those of the other kind.
