--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -582,5 +582,47 @@
     EXPECT_TRUE(all<Send>(rig.decide()).empty());
 }
 
+// ---- what has gone ----
+
+// An outcome or a doubt may still name an endpoint that is no longer listed; after them nothing does.
+TEST(Gone, IsForgottenOnceNothingNamesIt) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kDedup);
+    const auto out = rig.sends();
+    ASSERT_EQ(out.size(), 1u);
+    const auto forgotten = [&rig](Time span) {
+        std::vector<EndpointId> found;
+        for (const Time end = rig.now + span; rig.now < end;) {
+            rig.now += ms(100);
+            for (const Forget& forget : all<Forget>(rig.decide())) found.push_back(forget.endpoint);
+        }
+        return found;
+    };
+    rig.list(0, 1, 0, 0.0, Condition::Gone);
+    EXPECT_TRUE(forgotten(ms(2000)).empty());
+    rig.outcome(out[0], Outcome::ConnectionLost);
+    EXPECT_TRUE(forgotten(ms(2000)).empty());  // a repeat may be bound to where the first try went
+    EXPECT_EQ(forgotten(ms(10000)), std::vector<EndpointId>{0});
+}
+
+std::size_t sends_with_spoilt_answers(int every) {
+    Rig rig;
+    rig.list(0, 1);
+    for (MessageId id = 1; id <= 30; ++id) rig.arrive(id, 1);
+    std::map<MessageId, std::uint32_t> tries;
+    std::size_t count = 0;
+    for (const Time end = rig.now + ms(3000); rig.now < end; rig.now += ms(10))
+        for (const Send& send : rig.sends())
+            rig.outcome(send, ++count % every == 0 ? Outcome::Unreadable : Outcome::Served,
+                tries[send.message]++, Time(0), ms(10));
+    return count;
+}
+// A spoilt answer comes from a target that takes calls; only where hardly any other comes it is an outage.
+TEST(Health, SpoiltAnswersNowAndThenAreNoOutage) {
+    EXPECT_GT(sends_with_spoilt_answers(4), 30u);
+    EXPECT_LT(sends_with_spoilt_answers(1), 30u);
+}
+
 }  // namespace
 }  // namespace cometspoke::testing
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -268,6 +268,7 @@
         waitpid(std::exchange(pid_, 0), &status, 0);
         return status;
     }
+    pid_t pid() const { return pid_; }
     const Tcp::endpoint& address() const { return address_; }
     Client client() const { return Client(address_); }
     bool refuses() const {
--- /dev/null
+++ b/tests/rude_test.cpp
@@ -0,0 +1,149 @@
+// Clients that send what cannot be read, too much, too little or nothing.
+#include "node_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+class RudeTest : public NodeTest {
+protected:
+    std::string command(const std::vector<std::string>& words) {
+        std::string bytes = "*" + std::to_string(words.size()) + "\r\n";
+        for (const std::string& word : words)
+            bytes += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+        return bytes;
+    }
+    void expect_served(Client& client, const std::string& id) {
+        ASSERT_EQ(enqueue(client, id), "+OK");
+        const Exchange call = target.next();
+        EXPECT_EQ(call.header("X-Call-Id"), id);
+        call.answer(200);
+    }
+};
+
+// An error in the framing ends the stream: nothing behind it can be read.
+TEST_F(RudeTest, AnswersAndClosesWhatCannotBeRead) {
+    node.start_ready();
+    const std::string endless(100'000, 'x');
+    for (const std::string& bytes : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("*1\r\n$-5\r\n"),
+             std::string("*999999\r\n"), std::string("*1\r\n$60000000\r\n"),
+             std::string("*1\r\n$99999999999999999999\r\n"), std::string("*2\r\n$4\r\nPINGPING\r\n"),
+             std::string("\xff\xfe\r\n"), "*" + endless, "*1\r\n$" + endless}) {
+        Client client = node.client();
+        client.send(bytes);
+        EXPECT_EQ(client.line().substr(0, 5), "-ERR ") << bytes.substr(0, 20);
+        EXPECT_TRUE(client.ended());
+    }
+    Client client = node.client();
+    expect_served(client, id);
+}
+
+// An error in the values leaves the stream readable.
+TEST_F(RudeTest, AnswersBadValuesAndReadsOn) {
+    node.start_ready();
+    tell(agent_request("/v1/servers"), list(2, true, {member("s-1", target.address(), 7)}));
+    const Exchange watch = agent_request("/v1/servers?from=2");
+    Client client = node.client();
+    EXPECT_EQ(client.ask({"ENQUEUE"}).substr(0, 5), "-ERR ");
+    EXPECT_EQ(client.ask({"ENQUEUE", "0", "c=safe,t=acme,d=9,dest=7", "B"}).substr(0, 5), "-ERR ");  // no id
+    EXPECT_EQ(enqueue(client, "xyz").substr(0, 5), "-ERR ");
+    EXPECT_EQ(enqueue(client, id, "odd\r\n").substr(0, 5), "-ERR ");
+    EXPECT_EQ(enqueue(client, id, "safe", -5).substr(0, 5), "-ERR ");
+    for (const char* words : {"c=safe,t=acme,d=soon,dest=7", "c=safe,t=acme,d=nan,dest=7",
+             "c=safe,t=acme,d=9", "c=safe,t=acme,d=9,dest=99999999999999999999", "safe"})
+        EXPECT_EQ(client.ask({"ENQUEUE", "0", id, words, "B"}).substr(0, 5), "-ERR ") << words;
+    for (const int nowhere : {-1, 8, 70000})
+        EXPECT_EQ(enqueue(client, id, "safe", 30000, "B", nowhere).substr(0, 5), "-ERR ") << nowhere;
+    expect_served(client, id);
+}
+
+// Before discovery has told its whole list a destination may be new: no is not final then.
+TEST_F(RudeTest, IsBusyForAnUnknownDestinationUntilItHasAWholeList) {
+    node.start_ready();
+    Client client = node.client();
+    EXPECT_EQ(enqueue(client, id, "safe", 30000, "B", 8).substr(0, 6), "-BUSY ");
+}
+
+// No message of a class may be delivered for longer than the class allows, whatever its client says.
+TEST_F(RudeTest, BelievesNoDeadlineBeyondTheClass) {
+    node.config()["settings"]["classes"][0]["hard_limit_ms"] = 9000;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "safe", 80'000'000), "+OK");
+    EXPECT_LE(std::stoi(target.next().header("X-Budget-Ms")), 9000);
+}
+
+TEST_F(RudeTest, EndsHalfACommandAndASilentConnection) {
+    node.start_ready();
+    Client half = node.client(), silent = node.client(), usual = node.client();
+    EXPECT_EQ(usual.ask({"PING"}), "+PONG");
+    half.send(command({"PING", "x"}).substr(0, 12));
+    EXPECT_EQ(half.line().substr(0, 5), "-ERR ");
+    EXPECT_TRUE(half.ended());
+    EXPECT_TRUE(silent.ended());
+    EXPECT_EQ(usual.ask({"PING"}), "+PONG");  // it may rest between requests while there is room
+}
+
+TEST_F(RudeTest, ServesTheUsualAmongHundredsThatSayNothing) {
+    node.start_ready();
+    std::list<Client> silent;
+    for (int i = 0; i < 500; ++i) silent.emplace_back(node.address());
+    Client client = node.client();
+    expect_served(client, id);
+    for (Client& one : silent) EXPECT_TRUE(one.ended());
+    expect_served(client, "00000000000000aa");
+}
+
+// A connection with hundreds of commands waiting is answered in order, and others meanwhile.
+TEST_F(RudeTest, TakesHundredsOfCommandsAtOnce) {
+    node.start_ready();
+    Client many = node.client(), usual = node.client();
+    std::string bytes;
+    for (int i = 0; i < 1000; ++i)
+        bytes += command({"ENQUEUE", "0", "no id", "c=safe", "B"}) + command({"PING"});
+    many.send(bytes);
+    expect_served(usual, id);
+    for (int i = 0; i < 1000; ++i) {
+        ASSERT_EQ(many.line().substr(0, 5), "-ERR ") << i;
+        ASSERT_EQ(many.line(), "+PONG") << i;
+    }
+}
+
+// Half commands of many clients, long ones, stay within a share of the memory.
+TEST_F(RudeTest, BoundsWhatUnendedCommandsHold) {
+    node.config()["limits"]["memory_mb"] = 4;
+    node.start_ready();
+    std::list<Client> halves;
+    const std::string half = "*2\r\n$4\r\nPING\r\n$60000\r\n" + std::string(50'000, 'h');
+    for (int i = 0; i < 60; ++i) {
+        halves.emplace_back(node.address());
+        halves.back().send(half);
+    }
+    EXPECT_EQ(halves.front().line(), "-ERR too much at once");
+    Client client = node.client();
+    expect_served(client, id);
+}
+
+// Memory and descriptors must not grow with the connections that have been.
+TEST_F(RudeTest, KeepsNothingOfConnectionsThatEnded) {
+    node.start_ready();
+    const auto descriptors = [this] {
+        const auto all = std::filesystem::directory_iterator("/proc/" + std::to_string(node.pid()) + "/fd");
+        return std::distance(begin(all), end(all));
+    };
+    Client usual = node.client();
+    EXPECT_EQ(usual.ask({"PING"}), "+PONG");
+    const auto before = descriptors();
+    for (int i = 0; i < 300; ++i) {
+        Client client = node.client();
+        client.send(i % 2 == 0 ? "noise\r\n" : "*1\r\n");
+        if (i % 2 == 0) {
+            EXPECT_EQ(client.line().substr(0, 5), "-ERR ");
+        }
+    }
+    const auto until = Clock::now() + kDeadline;
+    while (descriptors() > before && Clock::now() < until) std::this_thread::sleep_for(10ms);
+    EXPECT_LE(descriptors(), before);
+}
+
+}  // namespace
+}  // namespace lockgw
