Resets weigh little by themselves; stuck calls go sooner; connections are kept

A reset weighs as a spoilt answer now, unless a refused connect follows it (a death); an endpoint that warms up is bound by the budget, not by the trial gap of 0.25 s; a stuck call goes after eight usual times, 0.3 s at least; idle connections are closed only after two refused connects with none made between them.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -52,9 +52,10 @@
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
 constexpr double kLeastTrials = 3.0;   // all senders together try so often in a fall-back window, at least
-constexpr Time kTrialGap{250'000};     // sends to an endpoint that is not well are at least so far apart
+constexpr Time kTrialGap{250'000};     // sends to an endpoint that is sick are at least so far apart
+constexpr Time kLeastGap{10'000};      // and to one that is warming up
 constexpr double kTimeOutTimes = 8.0;  // time-out in usual times, where a repeat is allowed
-constexpr Time kLeastTimeOut{1'000'000};
+constexpr Time kLeastTimeOut{300'000};
 constexpr double kScarce = 0.75;    // above this share of the slots taken, stuck calls are in the way
 constexpr Time kDropTrip{500'000};  // a drop and the repeat after it need this much of a dedup window
 constexpr Time kRetryGap{50'000};   // pause of a message after an attempt that failed; doubles with each
@@ -106,7 +107,7 @@
     bool failure_seen = false;  // since it fell sick
     double failing = 0.0;       // blended share of calls that fail
     int refused_row = 0;
-    Time last_good{kLongAgo}, refused_at{kLongAgo};
+    Time last_good{kLongAgo}, refused_at{kLongAgo}, lost_at{kLongAgo}, unconnected_at{kLongAgo};
     Time fell{kLongAgo};      // when it was last found not well
     Time returned{0};         // first success after an outage, or its told opening
     Time cold_tag{kLongAgo};  // L while it is not well: the fall-back budget
@@ -630,14 +631,20 @@
         Route& route = route_of(endpoint);
         if (report && report->limit > 0) route.known = report->limit;
         if (outcome == Outcome::CalledOff) return;  // our own doing: it says nothing new
-        if (outcome == Outcome::Unreadable) return spoil(endpoint, now);
+        if (outcome == Outcome::ConnectionLost) endpoint.lost_at = now;
+        if (outcome == Outcome::Unreadable || outcome == Outcome::ConnectionLost) return spoil(endpoint, now);
         if (outcome == Outcome::Served) return succeed(id, report ? report->left : 0.0, rtt, now);
         if (outcome == Outcome::TurnedAway) lower_limit(route, endpoint, now);
         const bool shut = outcome == Outcome::TurnedAway &&
                           (route.wait_until > now + kLongWait || (report && report->left > kRoomLeft));
         const bool no_room = outcome == Outcome::NoConnection && now - sent < kSlowConnect;
-        if (no_room) unconnected_[endpoint.kind] = now;
-        if ((outcome == Outcome::TurnedAway && !shut) || no_room) {
+        // one may be lost on the way; with none made between them they are turned away for their number
+        if (no_room && endpoint.unconnected_at > endpoint.last_good) unconnected_[endpoint.kind] = now;
+        if (no_room) endpoint.unconnected_at = now;
+        // calls that broke off, then a refused connect: the process died
+        const bool died = no_room && endpoint.lost_at > endpoint.last_good;
+        if (died) endpoint.failing = 1.0;
+        if (!died && ((outcome == Outcome::TurnedAway && !shut) || no_room)) {
             if (report && report->limit > 0) return;  // its limit is used up: no outage
             // refusals of calls sent before the last one was known are the same piece of news
             if (sent <= endpoint.refused_at) return;
@@ -752,7 +759,8 @@
             const double due = since + rise * since * since / 2.0 + step - flat;
             gap = flat + (std::sqrt(1.0 + 2.0 * rise * due) - 1.0) / rise - since;
         }
-        endpoint.cold_tag = from + std::max(kTrialGap, from_seconds(gap));
+        const Time least = endpoint.health == Health::Returning ? kLeastGap : kTrialGap;
+        endpoint.cold_tag = from + std::max(least, from_seconds(gap));
     }
 
     // Waiting summed over the calls out since the last success, in usual times.
