Stuck calls that later ones overtook; spans that shrink with the usual time; attempts over the time left

Where slots are short a call that a later one overtook goes after eight usual times, and is no sign of an outage. Half of a message's attempts used, the rest is spread over the time it has left: they ran out within 7 s in longer outages.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -51,14 +51,18 @@
 constexpr double kBudgetUse = 0.9;   // part of the fall-back budget used; limits lie below the capacity
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
-constexpr double kLeastTrials = 3.0;   // all senders together try so often in a fall-back window, at least
-constexpr Time kTrialGap{250'000};     // sends to an endpoint that is sick are at least so far apart
-constexpr Time kLeastGap{10'000};      // and to one that is warming up
-constexpr double kTimeOutTimes = 8.0;  // time-out in usual times, where a repeat is allowed
-constexpr Time kLeastTimeOut{300'000};
-constexpr double kScarce = 0.75;    // above this share of the slots taken, stuck calls are in the way
-constexpr Time kDropTrip{500'000};  // a drop and the repeat after it need this much of a dedup window
-constexpr Time kRetryGap{50'000};   // pause of a message after an attempt that failed; doubles with each
+constexpr double kLeastTrials = 3.0;      // all senders together try so often in a fall-back window, at least
+constexpr Time kTrialGap{250'000};        // sends to an endpoint that is sick are at least so far apart
+constexpr Time kLeastGap{10'000};         // and to one that is warming up
+constexpr double kTimeOutTimes = 8.0;     // time-out in usual times, where a repeat is allowed
+constexpr Time kLeastTimeOut{1'000'000};  // or, where it is shorter,
+constexpr double kLeastTimes = 12.0;      // so many usual times of all destinations
+constexpr double kTrialTimes = 2.5;       // the same for the gap between trials
+constexpr Time kLeastPaced{50'000};
+constexpr Time kLeastOvertaken{200'000};  // less where later calls to the endpoint were answered first
+constexpr double kScarce = 0.75;          // above this share of the slots taken, stuck calls are in the way
+constexpr Time kDropTrip{500'000};        // a drop and the repeat after it need this much of a dedup window
+constexpr Time kRetryGap{50'000};  // pause of a message after an attempt that failed; doubles with each
 constexpr std::uint32_t kPauseDoublings = 4;
 constexpr Time kDedupMargin{100'000};   // a resend leaves this much before its window closes
 constexpr Time kSweep{100'000};         // silence is looked for this often while calls are out
@@ -146,6 +150,7 @@
     Time sent{0};
     std::size_t out = 0;
     bool judged = false;
+    bool overtaken = false;  // one sent to its endpoint later was answered
 };
 
 struct Attempt {
@@ -262,7 +267,7 @@
             route.wait_until = std::max(route.wait_until, now + event.wait);
         if (!call.judged && event.outcome != Outcome::NotSent) {
             call.judged = true;
-            learn(call.endpoint, event.outcome, event.report, call.sent, event.rtt, now);
+            learn(call, event.outcome, event.report, event.rtt, now);
         }
         const Call ended = call;
         if (--call.out == 0) {
@@ -405,7 +410,7 @@
         Destination& destination = destinations_[pick.destination];
         Endpoint& endpoint = endpoints_.at(pick.endpoint);
         const std::uint64_t call_id = ++call_count_;
-        calls_.emplace(call_id, Call{pick.endpoint, now, 0, false});
+        calls_.emplace(call_id, Call{pick.endpoint, now});
         ++endpoint.in_flight;
         ++destination.in_flight;
         take_connection(endpoint, now);
@@ -551,7 +556,17 @@
         return wait ? left : std::min(left, patience(destinations_.at(message.destination)));
     }
     Time patience(const Destination& destination) const {
-        return std::max(from_seconds(kTimeOutTimes * usual(destination)), kLeastTimeOut);
+        return std::max(from_seconds(kTimeOutTimes * usual(destination)), paced(kLeastTimeOut, kLeastTimes));
+    }
+
+    Time short_patience(const Destination& destination) const {
+        return std::max(from_seconds(kTimeOutTimes * usual(destination)), kLeastOvertaken);
+    }
+
+    // A fixed span is meant for answers in a tenth of a second or more; where all answer sooner it shrinks.
+    Time paced(Time span, double times) const {
+        if (overall_usual_ <= 0) return span;
+        return std::min(span, std::max(kLeastPaced, from_seconds(times * overall_usual_)));
     }
 
     // A long call stays out while nothing better can be done: it may still be answered, and a repeat costs
@@ -567,11 +582,13 @@
             const auto found = messages_.find(name.first);
             if (attempt.dropped || found == messages_.end()) continue;
             const Endpoint& endpoint = endpoints_.at(call.endpoint);
-            const Time longest = patience(destinations_.at(endpoint.destination));
+            const Destination& destination = destinations_.at(endpoint.destination);
+            const bool passed = jammed && call.overtaken;
+            const Time longest = passed ? short_patience(destination) : patience(destination);
             if (now - call.sent < longest || !(jammed || may_repeat(found->second, call, now))) continue;
             const bool lost = endpoint.last_good > call.sent + longest;
             const bool silent = endpoint.health != Health::Well;
-            if (!lost && !(silent && scarce)) continue;
+            if (!passed && !lost && !(silent && scarce)) continue;
             attempt.dropped = true;
             actions_.emplace_back(CancelAttempt{name.first, name.second});
         }
@@ -625,15 +642,21 @@
         return std::max(known > 0 ? known : seconds(kFirstUsual), seconds(kLeastUsual));
     }
 
-    void learn(EndpointId id, Outcome outcome, const std::optional<LoadReport>& report, Time sent, Time rtt,
-        Time now) {
+    void learn(
+        const Call& call, Outcome outcome, const std::optional<LoadReport>& report, Time rtt, Time now) {
+        const EndpointId id = call.endpoint;
+        const Time sent = call.sent;
         Endpoint& endpoint = endpoints_.at(id);
         Route& route = route_of(endpoint);
         if (report && report->limit > 0) route.known = report->limit;
-        if (outcome == Outcome::CalledOff) return;  // our own doing: it says nothing new
+        if (outcome == Outcome::CalledOff) return;  // our own doing: it says nothing new of the endpoint
         if (outcome == Outcome::ConnectionLost) endpoint.lost_at = now;
         if (outcome == Outcome::Unreadable || outcome == Outcome::ConnectionLost) return spoil(endpoint, now);
-        if (outcome == Outcome::Served) return succeed(id, report ? report->left : 0.0, rtt, now);
+        if (outcome == Outcome::Served) {
+            for (auto& [other_id, other] : calls_)
+                if (other.endpoint == id && other.sent < sent) other.overtaken = true;
+            return succeed(id, report ? report->left : 0.0, rtt, now);
+        }
         if (outcome == Outcome::TurnedAway) lower_limit(route, endpoint, now);
         const bool shut = outcome == Outcome::TurnedAway &&
                           (route.wait_until > now + kLongWait || (report && report->left > kRoomLeft));
@@ -759,7 +782,7 @@
             const double due = since + rise * since * since / 2.0 + step - flat;
             gap = flat + (std::sqrt(1.0 + 2.0 * rise * due) - 1.0) / rise - since;
         }
-        const Time least = endpoint.health == Health::Returning ? kLeastGap : kTrialGap;
+        const Time least = endpoint.health == Health::Returning ? kLeastGap : paced(kTrialGap, kTrialTimes);
         endpoint.cold_tag = from + std::max(least, from_seconds(gap));
     }
 
@@ -768,6 +791,7 @@
         std::map<EndpointId, double> waiting;
         for (const auto& [id, call] : calls_) {
             const Endpoint& endpoint = endpoints_.at(call.endpoint);
+            if (call.overtaken) continue;  // it hangs alone
             waiting[call.endpoint] += seconds(now - std::max(call.sent, endpoint.last_good)) /
                                       usual(destinations_.at(endpoint.destination));
         }
@@ -791,8 +815,7 @@
         Message& message = found->second;
         --message.out;
         if (event.terminal || event.outcome == Outcome::Served) return forget(event.message, now);
-        message.not_before =
-            now + kRetryGap * (1 << std::min<std::uint32_t>(message.attempts - 1, kPauseDoublings));
+        message.not_before = now + pause_after(message, now);
         if (never_ran) return;
         if (!message.doubt_since || call.sent < *message.doubt_since) {
             message.doubt_since = call.sent;
@@ -800,6 +823,17 @@
         }
     }
 
+    // Doubling; from half of the allowed attempts on, those left are spread over the time left: otherwise
+    // they are used up in the middle of a long outage.
+    Time pause_after(const Message& message, Time now) const {
+        const Time doubled =
+            kRetryGap * (1 << std::min<std::uint32_t>(message.attempts - 1, kPauseDoublings));
+        if (message.attempts * 2 < settings_.max_attempts || message.attempts >= settings_.max_attempts)
+            return doubled;
+        const auto left = static_cast<Time::rep>(settings_.max_attempts - message.attempts);
+        return std::max(doubled, (message.deadline - now) / (left + 1));
+    }
+
     void settle_key(std::uint64_t key, const OutcomeEvent& event, Time now) {
         KeyLine& line = keys_.at(key);
         --line.out;
@@ -917,7 +951,7 @@
 
     void set_timer(Time now) {
         Time next = watch_at_;
-        if (!calls_.empty()) next = std::min(next, now + kSweep);
+        if (!calls_.empty()) next = std::min(next, now + paced(kSweep, 1.0));
         for (const auto& [id, message] : messages_) {
             next = std::min(next, ends_at(message));
             if (message.out == 0 && message.not_before > now) next = std::min(next, message.not_before);
