Membership as a package: one view, watches that cannot hang, and a gate before each first byte

A loopback test shows that a slow connect breaks the rule all the same.

Change. src/membership/: AskPlan (when to ask, to ask beside, to give up; no I/O), View (what is believed, by stated rules; no I/O), the agent's connection and the asking apart. A watch holds 1.5 s, is overdue 0.2 s later, and a second one begins beside it; an answer that takes long is looked into while it comes; drains are heeded from answers that are cut off, late or spoilt in places.

--- /dev/null
+++ b/rig/directory.hpp
@@ -0,0 +1,108 @@
+/// A stand-in for the agent of discovery (the platform's protocol, "Discovery" and "Notices").
+///
+/// It keeps the list with its versions, answers watches by itself, takes notices, and misbehaves by script: a
+/// queue of faults, of which each list request takes the next. It notes when each drain or departure was
+/// first written whole to a forwarder, in whatever answer. Its own thread; the calls below are safe from any.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "rig/http.hpp"
+
+namespace lockgw::rig {
+
+using Json = nlohmann::json;
+
+struct ListFault {
+    enum class Kind {
+        None,
+        Hang,     ///< no answer; the connection stays
+        Stop,     ///< `at` bytes of the answer's body, then nothing; the connection stays
+        Cut,      ///< `at` bytes, then closed
+        Reset,    ///< `at` bytes, then reset
+        Trickle,  ///< `at` bytes at a time with pauses of `span`
+        Late,     ///< the answer as it is now, written after `span`
+        Garbage,  ///< no HTTP
+        NoJson,   ///< an answer whose body is cut though its length agrees
+        Huge,     ///< 3 GB are announced, and bytes come without end for a while
+        Interim,  ///< 1xx answers ahead
+        Twice,    ///< two answers
+        Status,   ///< 503
+        Refuse,   ///< closed, and connections are refused for `span`
+        Freeze,   ///< closed, and connections do not come up for `span`
+    };
+    Kind kind = Kind::None;
+    std::size_t at = 0;
+    std::chrono::milliseconds span{0};
+};
+/// By its name in lower case, as in a script; throws std::invalid_argument.
+ListFault::Kind fault_kind(const std::string& name);
+
+class Directory {
+public:
+    /// Port 0: any free one.
+    explicit Directory(const Tcp::endpoint& address = {boost::asio::ip::address_v4::loopback(), 0});
+    ~Directory();
+
+    std::string address() const;
+    /// Puts an entry in the place of the one with its id, as a new version. `terminated` takes it off.
+    void put(const Json& member);
+    /// Several at once, as one version.
+    void put_all(const std::vector<Json>& members);
+    /// The agent starts anew and counts from `revision`; the list stays.
+    void count_anew(std::int64_t revision);
+    void fault(const ListFault& fault);
+    void clear_faults();
+
+    /// When an entry that stops this target was first written whole; none if it was not.
+    std::optional<Clock::time_point> stop_told(const std::string& id) const;
+    std::vector<std::string> requests() const;  ///< paths of list requests, in order
+    std::vector<Json> notices() const;
+    /// Waits until `revision` was asked from, which says that it was taken; false after `within`.
+    bool wait_asked_from(std::int64_t revision, std::chrono::milliseconds within) const;
+    std::int64_t revision() const;
+    std::size_t faults_left() const;
+
+private:
+    struct Version {
+        std::int64_t revision;
+        std::string id;
+    };
+    struct Held {
+        std::shared_ptr<Peer> peer;
+        std::int64_t from;
+        std::uint64_t number;
+    };
+
+    void handle(const std::shared_ptr<Peer>& peer, const Request& request);
+    void list(const std::shared_ptr<Peer>& peer, const std::string& path);
+    void answer_held();
+    void reply(const std::shared_ptr<Peer>& peer, std::optional<std::int64_t> from);
+    void misbehave(const std::shared_ptr<Peer>& peer, const ListFault& fault, const std::string& body);
+    void wrote(const std::string& body, std::size_t bytes, Clock::time_point when);
+    std::string body_of(std::optional<std::int64_t> from) const;
+
+    boost::asio::io_context io_;
+    Server server_;
+    mutable std::mutex mutex_;
+    mutable std::condition_variable changed_;
+    std::map<std::string, Json> members_;  // those that have gone too, as terminated
+    std::vector<Version> versions_;
+    std::int64_t revision_ = 1, oldest_ = 1;
+    std::deque<ListFault> faults_;
+    std::vector<Held> held_;
+    std::uint64_t holds_ = 0;
+    std::map<std::string, Clock::time_point> stops_;
+    std::vector<std::string> requests_;
+    std::vector<Json> notices_;
+    std::thread thread_;
+};
+
+}  // namespace lockgw::rig
--- /dev/null
+++ b/src/membership/ask_plan.hpp
@@ -0,0 +1,84 @@
+/// When to ask an agent, when to ask it a second time beside the first, and when to give a request up.
+///
+/// No I/O, no clock: times are the caller's. Deterministic. Not thread-safe. The caller carries out the steps
+/// and tells how far each request has come; no more than two are out at once.
+///
+///   Connecting --connected--> Waiting --first byte--> Reading --ended--> (over)
+///
+/// Each phase has two limits. Past the first the request is overdue: it is left to go on, and another one is
+/// begun beside it, on a connection of its own; what has come of its answer is looked at again and again, for
+/// it may hold the news of a drain. Past the second it is given up. A request that fails is
+/// followed by another at once, and then after pauses that double, up to one that is well within the 200 ms
+/// for which the platform holds a watch to go on.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lockgw {
+
+class AskPlan {
+public:
+    using Clock = std::chrono::steady_clock;
+    using Time = Clock::time_point;
+    using Span = std::chrono::milliseconds;
+
+    struct Limits {
+        Span hold{0};  ///< how long the agent may keep an answer back; part of Waiting
+        Span connect_overdue{150}, connect_most{600};
+        Span answer_overdue{200}, answer_most{1000};  ///< from the request to the first byte, beyond hold
+        Span read_overdue{150}, read_most{2000};      ///< from the first byte to the last
+        Span first_pause{10}, most_pause{100};        ///< after failures in a row but the first
+    };
+    enum class Phase { Connecting, Waiting, Reading };
+    enum class End { Good, Failed };
+    struct Steps {
+        std::vector<std::uint64_t> give_up;
+        std::vector<std::uint64_t> peek;  ///< being read for long: what has come so far should be looked at
+        std::optional<std::uint64_t> begin;  ///< a new request, by this number
+    };
+
+    static constexpr std::size_t kMostOut = 2;
+
+    explicit AskPlan(Limits limits) : limits_(limits) {}
+
+    /// Whether there is anything to ask. While not, nothing is begun; what is out goes on.
+    void want(bool wanted) { wanted_ = wanted; }
+    /// What to do now. A request to begin counts as Connecting, one to give up as over.
+    Steps steps(Time now);
+    /// How far a request has come. Numbers that are over are passed over.
+    void reached(std::uint64_t request, Phase phase, Time now);
+    void ended(std::uint64_t request, End end, Time now);
+    /// All that is out is over: another agent.
+    void clear();
+
+    /// When steps() has something to do; none while that waits for an event.
+    std::optional<Time> due() const;
+    std::size_t out() const { return out_.size(); }
+    unsigned failures() const { return failures_; }
+
+private:
+    struct Request {
+        Phase phase = Phase::Connecting;
+        Time since{};
+        Time peeked{};
+    };
+    Time overdue_at(const Request& request) const;
+    Time given_up_at(const Request& request) const;
+    Time peek_at(const Request& request) const;
+    bool one_is_fresh(Time now) const;
+    void failed(Time now);
+
+    Limits limits_;
+    std::map<std::uint64_t, Request> out_;
+    std::uint64_t next_ = 1;
+    bool wanted_ = false;
+    unsigned failures_ = 0;  // in a row
+    Time not_before_{};      // after failures
+};
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/membership/asker.cpp
@@ -0,0 +1,89 @@
+#include "membership/asker.hpp"
+
+#include <iostream>
+#include <utility>
+
+namespace lockgw {
+
+Asker::Asker(boost::asio::io_context& io, AskPlan::Limits limits, Make make, Over over, Peek peek)
+    : io_(io),
+      plan_(limits),
+      make_(std::move(make)),
+      over_(std::move(over)),
+      peek_(std::move(peek)),
+      timer_(io) {}
+Asker::~Asker() { leave(); }
+
+void Asker::move_to(const boost::asio::ip::tcp::endpoint& address) {
+    leave();
+    address_ = address;
+    moved_in_ = true;
+    step();
+}
+
+void Asker::leave() {
+    timer_.cancel();
+    plan_.clear();
+    for (const auto& [request, connection] : out_) connection->give_up();
+    out_.clear();
+    if (spare_) spare_->give_up();
+    spare_.reset();
+}
+
+void Asker::want(bool wanted) {
+    plan_.want(wanted);
+    if (moved_in_) step();
+}
+
+void Asker::step() {
+    const AskPlan::Steps steps = plan_.steps(AskPlan::Clock::now());
+    for (const std::uint64_t request : steps.give_up) {
+        const Connection connection = std::move(out_.extract(request).mapped());
+        told(request, connection->give_up());
+    }
+    if (peek_)
+        for (const std::uint64_t request : steps.peek) peek_(request, out_.at(request)->peek());
+    if (steps.begin) begin(*steps.begin);
+    arm();
+}
+
+void Asker::arm() {
+    const auto due = plan_.due();
+    if (!due) return;
+    timer_.expires_at(*due);
+    timer_.async_wait([this](auto cancelled) {
+        if (!cancelled) step();
+    });
+}
+
+void Asker::begin(std::uint64_t request) {
+    Connection connection = std::exchange(spare_, nullptr);
+    if (!connection) connection = std::make_shared<AgentConnection>(io_, address_);
+    out_.emplace(request, connection);
+    Request made = make_(request);
+    connection->ask(
+        made.verb, made.path, std::move(made.body),
+        [this, request](AskPlan::Phase phase) {
+            plan_.reached(request, phase, AskPlan::Clock::now());
+            arm();  // each phase has limits of its own
+        },
+        [this, request](const AgentConnection::Answer& answer) { over(request, answer); });
+}
+
+void Asker::over(std::uint64_t request, const AgentConnection::Answer& answer) {
+    const Connection connection = std::move(out_.extract(request).mapped());
+    if (connection->reusable() && !spare_) spare_ = connection;
+    const bool good = told(request, answer);
+    plan_.ended(request, good ? AskPlan::End::Good : AskPlan::End::Failed, AskPlan::Clock::now());
+    step();
+}
+
+/// What the receiver makes of an answer must not end the asking.
+bool Asker::told(std::uint64_t request, const AgentConnection::Answer& answer) try {
+    return over_(request, answer);
+} catch (const std::exception& fault) {
+    std::cerr << "discovery: " << fault.what() << '\n';
+    return false;
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/membership/asker.hpp
@@ -0,0 +1,59 @@
+/// Carries out an AskPlan: requests to an agent over one connection, or two while the first is overdue.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "membership/agent.hpp"
+#include "membership/ask_plan.hpp"
+
+namespace lockgw {
+
+class Asker {
+public:
+    struct Request {
+        boost::beast::http::verb verb = boost::beast::http::verb::get;
+        std::string path, body;
+    };
+    /// What to ask under this number; called right before it is written.
+    using Make = std::function<Request(std::uint64_t)>;
+    /// What came of it, also of one that was given up. True: there is no need to ask the same again.
+    using Over = std::function<bool(std::uint64_t, const AgentConnection::Answer&)>;
+
+    /// What has come so far of an answer that takes long.
+    using Peek = std::function<void(std::uint64_t, const AgentConnection::Answer&)>;
+
+    Asker(boost::asio::io_context& io, AskPlan::Limits limits, Make make, Over over, Peek peek = {});
+    ~Asker();
+
+    /// The first address, or another agent: what is out is given up, and nothing is told of it.
+    void move_to(const boost::asio::ip::tcp::endpoint& address);
+    /// Whether there is anything to ask.
+    void want(bool wanted);
+
+private:
+    using Connection = std::shared_ptr<AgentConnection>;
+
+    void step();
+    void arm();
+    void begin(std::uint64_t request);
+    void over(std::uint64_t request, const AgentConnection::Answer& answer);
+    bool told(std::uint64_t request, const AgentConnection::Answer& answer);
+    void leave();
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::tcp::endpoint address_;
+    AskPlan plan_;
+    Make make_;
+    Over over_;
+    Peek peek_;
+    boost::asio::steady_timer timer_;
+    std::map<std::uint64_t, Connection> out_;
+    Connection spare_;
+    bool moved_in_ = false;
+};
+
+}  // namespace lockgw
--- a/src/net/directory.cpp
+++ b/src/membership/directory.cpp
@@ -1,4 +1,4 @@
-#include "directory.hpp"
+#include "membership/directory.hpp"
 
 #include <utility>
 
@@ -11,14 +11,14 @@
 namespace {
 
 constexpr auto kDestinationMemory = 10min;  // its targets are being replaced, not given up
-constexpr std::size_t kMostTargets = 100'000;
+constexpr std::size_t kMostNumbers = 100'000;
 
 }  // namespace
 
 EndpointId Directory::number_of(const std::string& name) {
     const auto found = numbers_.find(name);
     if (found != numbers_.end()) return found->second;
-    if (entries_.size() >= kMostTargets) throw cometspoke::settings::BadInput("too many targets");
+    if (entries_.size() >= kMostNumbers) throw cometspoke::settings::BadInput("too many targets");
     entries_.emplace(next_, Entry{name, std::nullopt});
     numbers_.emplace(name, next_);
     return next_++;
--- a/src/net/directory.hpp
+++ b/src/membership/directory.hpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-#include "discovery.hpp"
+#include "membership/member.hpp"
 
 namespace lockgw {
 
--- /dev/null
+++ b/src/membership/discovery.hpp
@@ -0,0 +1,70 @@
+/// The agent of discovery: the view of targets kept up, and notices to the platform.
+///
+/// The watch is renewed as soon as it is answered, and a second one is begun beside it as soon as it is
+/// overdue: a request that hangs, or an answer that stops in its middle, costs a fraction of a second.
+/// Notices are posted until they are answered 204, also beside a post that hangs.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/notice.hpp"
+#include "membership/asker.hpp"
+#include "membership/view.hpp"
+
+namespace lockgw {
+
+class Discovery {
+public:
+    struct Settings {
+        Tcp::endpoint address;
+        Json known;                          ///< the list as last had, in discovery's form
+        std::set<std::string> zones, kinds;  ///< the names that the settings know
+    };
+    using MessageId = cometspoke::MessageId;
+    using Told = std::function<void(const View::Update&)>;
+    using Confirmed = std::function<void(MessageId)>;
+
+    /// `told`: whenever the view has something new.
+    Discovery(boost::asio::io_context& io, Settings settings, Told told, Confirmed confirmed);
+
+    /// Tells the list that the configuration has; before start().
+    void take_known();
+    void start();
+    /// Another agent takes the place of the present one. It counts its own versions and has not seen what the
+    /// old one did not confirm: the whole list is asked for, and every unconfirmed notice goes to it at once.
+    /// Until it answers the last list stays in force.
+    void move_to(const Tcp::endpoint& address);
+    /// Posted until it is answered 204.
+    void report(MessageId id, const Notice& notice);
+
+    const View& view() const { return view_; }
+
+private:
+    Asker::Request ask_list(std::uint64_t request);
+    bool list_over(std::uint64_t request, const AgentConnection::Answer& answer);
+    void list_peek(std::uint64_t request, const AgentConnection::Answer& answer);
+    View::Update judged(const View::Asked& asked, const AgentConnection::Answer& answer, std::string& why);
+    void tell(const View::Update& update);
+    void log_failure(const std::string& why);
+
+    Asker::Request post_notices(std::uint64_t request);
+    bool post_over(std::uint64_t request, const AgentConnection::Answer& answer);
+
+    Tcp::endpoint address_;
+    Json known_;
+    Told told_;
+    Confirmed confirmed_;
+    View view_;
+    std::map<std::uint64_t, View::Asked> asked_;  // by request
+    std::map<MessageId, Notice> notices_;
+    std::map<std::uint64_t, std::vector<MessageId>> posted_;  // by request
+    std::size_t failures_ = 0;                                // of the watch, in a row
+    View::Time failing_since_{}, logged_{};
+    Asker watch_, reports_;
+};
+
+}  // namespace lockgw
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -12,20 +12,6 @@
 using cometspoke::settings::need;
 using cometspoke::settings::value_or;
 
-template <class Endpoint>
-Endpoint endpoint_of(const std::string& text, const char* what) {
-    const auto colon = text.rfind(':');
-    std::uint16_t port = 0;
-    boost::system::error_code bad;
-    if (colon == std::string::npos) throw BadInput(std::string(what) + " is not host:port: " + text);
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    const auto address = asio::ip::make_address(text.substr(0, colon), bad);
-    if (bad || parsed.ec != std::errc() || parsed.ptr != end)
-        throw BadInput(std::string(what) + " is not host:port: " + text);
-    return Endpoint(address, port);
-}
-
 std::uint64_t seed_of(const std::string& text) {
     std::uint64_t seed = 0;
     const char* end = text.data() + text.size();
@@ -63,13 +49,6 @@
 
 }  // namespace
 
-Tcp::endpoint tcp_endpoint(const std::string& text, const char* what) {
-    return endpoint_of<Tcp::endpoint>(text, what);
-}
-Udp::endpoint udp_endpoint(const std::string& text, const char* what) {
-    return endpoint_of<Udp::endpoint>(text, what);
-}
-
 Config read_config(const Json& file) {
     Config config;
     config.name = value_or<std::string>(file, "name", "");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/address.hpp"
 #include "settings.hpp"
 
 namespace lockgw {
@@ -36,10 +37,6 @@
     bool reports = false;  ///< answers may carry load reports
 };
 
-/// "host:port" with a numeric address; throws BadInput naming `what`.
-Tcp::endpoint tcp_endpoint(const std::string& text, const char* what);
-Udp::endpoint udp_endpoint(const std::string& text, const char* what);
-
 /// Throws std::exception with one plain line where something is missing or makes no sense.
 Config read_config(const Json& file);
 Config config_of_environment();
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -40,6 +40,12 @@
     return resp::error(wait > 0ms ? "BUSY " + std::to_string(wait.count()) : "BUSY");
 }
 
+std::set<std::string> names_in(const cometspoke::settings::Index& index) {
+    std::set<std::string> names;
+    for (const auto& [name, place] : index) names.insert(name);
+    return names;
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -51,14 +57,14 @@
       config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes),
       sender_(config_.settings, config_.seed),
-      targets_(io, config_, most_target_connections(config_),
+      targets_(
+          io, config_, most_target_connections(config_),
+          [this](const Call& call, const Tcp::endpoint& address) { return may_have(call, address); },
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
-          io, config_,
-          [this](const TargetList& told) {
-              whole_list_ = whole_list_ || told.complete;
-              list(told, told.complete ? ListKind::Full : ListKind::Changes);
-          },
+          io,
+          {config_.discovery, config_.known, names_in(config_.names.zones), names_in(config_.names.kinds)},
+          [this](const View::Update& update) { list(update); },
           [this](MessageId id) {
               journal_.confirmed(id);
               stop_if_done();
@@ -73,11 +79,7 @@
       drain_end_(io) {}
 
 void Forwarder::start() {
-    try {
-        list(list_of(config_.known), ListKind::Cached);
-    } catch (const std::exception& bad) {
-        std::cerr << "config: no known list: " << bad.what() << '\n';
-    }
+    discovery_.take_known();
     take_up();
     peers_.start();
     discovery_.start();
@@ -113,17 +115,14 @@
     }
 }
 
-void Forwarder::list(TargetList told, ListKind kind) {
-    std::erase_if(told.targets, [this](const Target& target) {
-        const bool known = (target.zone.empty() || config_.names.zones.contains(target.zone)) &&
-                           (target.kind.empty() || config_.names.kinds.contains(target.kind));
-        if (!known) std::cerr << "discovery: passed over " << target.id << " of an unknown kind or place\n";
-        return !known;
-    });
+void Forwarder::list(const View::Update& update) {
+    const TargetList& told = update.told;
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     for (const EndpointId endpoint : gone) targets_.forget(endpoint);
     ListEvent event;
-    event.kind = kind;
+    event.kind = !told.complete              ? ListKind::Changes
+                 : discovery_.view().whole() ? ListKind::Full
+                                             : ListKind::Cached;
     for (const Target& target : told.targets) {
         const auto endpoint = directory_.find(target.id);
         if (!endpoint) continue;  // it went before it was ever listed here
@@ -135,12 +134,26 @@
         entry.rate = target.rate;
         entry.condition = target.condition;
         if (target.condition == Condition::Ready) targets_.set_address(*endpoint, target.address);
-        if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
+        if (target.condition == Condition::Draining) targets_.withdraw(*endpoint);
         event.entries.push_back(entry);
     }
+    for (const std::string& id : update.restarted)  // connections to the process before it are dead
+        if (const auto endpoint = directory_.find(id)) targets_.close_idle(*endpoint);
     observe(event);
 }
 
+/// The send gate: asked right before a call's first byte, on every path. A call may have been chosen before
+/// the news of a drain, and its connection may have taken long to come up.
+bool Forwarder::may_have(const Call& call, const Tcp::endpoint& address) const {
+    const std::string* name = directory_.name_of(call.endpoint);
+    const auto gate =
+        name == nullptr ? View::Gate::Gone : discovery_.view().gate(*name, address, call.destination);
+    if (gate == View::Gate::Open) return true;
+    std::cerr << "lockgw: " << cometspoke::settings::id_text(call.message) << " not sent to "
+              << (name == nullptr ? "?" : *name) << ": it " << text_of(gate) << '\n';
+    return false;
+}
+
 void Forwarder::enqueue(Message message, Time left, Clients::Answer answer) {
     const MessageId id = message.id;
     if (const auto twin = newcomers_.find(id); twin != newcomers_.end()) {
@@ -154,7 +167,7 @@
     // A client that met a closed connection hands the same id in once more: it is held already.
     if (journal_.find(id) != nullptr) return answer(resp::simple("OK"));
     if (!directory_.has(message.destination, std::chrono::steady_clock::now()) && !directory_.blank())
-        return answer(whole_list_ ? resp::error("ERR unknown destination") : busy(kRoomWait));
+        return answer(discovery_.view().whole() ? resp::error("ERR unknown destination") : busy(kRoomWait));
     if (journal_.unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
     MessageEvent event;
     event.message = id;
@@ -236,8 +249,8 @@
         event.outcome = Outcome::NotSent;
         return observe(event);
     }
-    targets_.start(
-        {send.message, send.endpoint, attempt, entry->message.key, entry->message.body, send.time_out});
+    targets_.start({send.message, send.endpoint, attempt, entry->message.destination, entry->message.key,
+        entry->message.body, send.time_out});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel) { targets_.cancel(cancel.message, cancel.attempt); }
 void Forwarder::carry_out(const Refuse& refuse) {
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -8,9 +8,9 @@
 
 #include "clients.hpp"
 #include "config.hpp"
-#include "directory.hpp"
-#include "discovery.hpp"
 #include "journal.hpp"
+#include "membership/directory.hpp"
+#include "membership/discovery.hpp"
 #include "peers.hpp"
 #include "targets.hpp"
 
@@ -35,7 +35,8 @@
     };
 
     void take_up();
-    void list(TargetList told, cometspoke::ListKind kind);
+    void list(const View::Update& update);
+    bool may_have(const Call& call, const Tcp::endpoint& address) const;
     void enqueue(Message message, cometspoke::Time left, Clients::Answer answer);
     void outcome(const cometspoke::OutcomeEvent& event);
     void observe(const cometspoke::Event& event);
@@ -72,7 +73,6 @@
     asio::steady_timer timer_, drain_step_, drain_end_;
     bool turn_due_ = false, draining_ = false;
     std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
-    bool whole_list_ = false;                  // discovery has told all targets once
 };
 
 }  // namespace lockgw
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/notice.hpp"
 #include "cometspoke/sender.hpp"
 
 namespace lockgw {
@@ -34,11 +35,6 @@
     Wall since{};
     std::string target;
 };
-/// How a message ended that was not delivered.
-struct Notice {
-    bool bounced = false;  ///< else dead
-    std::chrono::milliseconds wait{0};
-};
 struct Entry {
     Message message;
     std::uint32_t attempts = 0;
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -55,7 +55,7 @@
     void start(Call call) {
         begun_ = Clock::now();
         ++turn_;
-        written_ = false;
+        written_ = begun_writing_ = false;
         call_ = std::move(call);
         answer_ = Answer();
         if (socket_.is_open()) {
@@ -72,6 +72,9 @@
     }
 
     void cancel() { end(Outcome::CalledOff); }
+    /// Its call, if it has one, has not begun to be written.
+    bool connecting() const { return call_ && !begun_writing_; }
+    void withdraw() { not_sent(); }
 
     /// Idle: a target's close is noticed at once, and it is left before the target may close it.
     void idle_for(Clock::duration span) {
@@ -106,6 +109,8 @@
     }
 
     void write() {
+        if (!owner_.may_(*call_, address_)) return not_sent();
+        begun_writing_ = true;
         const auto left = begun_ + call_->time_out - Clock::now();
         wait_until(begun_ + call_->time_out);
         request_ = {http::verb::post, "/v1/messages", 11};
@@ -123,6 +128,13 @@
         }));
     }
 
+    /// Told in a turn of its own: the call may just be being started.
+    void not_sent() {
+        asio::post(owner_.io_, [self = shared_from_this(), turn = turn_] {
+            if (turn == self->turn_) self->end(Outcome::NotSent);
+        });
+    }
+
     void read() {
         socket_.async_wait(
             Tcp::socket::wait_read, guarded([this](auto failed) { failed ? ended() : take(); }));
@@ -192,18 +204,20 @@
     Tcp::socket socket_;
     asio::steady_timer timer_;
     std::uint64_t turn_ = 0;
-    std::optional<Call> call_;  // until its outcome is told
-    bool written_ = false;      // the call's last byte
+    std::optional<Call> call_;    // until its outcome is told
+    bool begun_writing_ = false;  // the send gate has let it through
+    bool written_ = false;        // the call's last byte
     Clock::time_point begun_{};
     http::request<http::string_body> request_;
     Answer answer_;
 };
 
-Targets::Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done)
+Targets::Targets(asio::io_context& io, const Config& config, std::size_t most_connections, May may, Done done)
     : io_(io),
       config_(config),
       longest_wait_(longest_wait(config)),
       most_(most_connections),
+      may_(std::move(may)),
       done_(std::move(done)) {}
 Targets::~Targets() = default;
 
@@ -211,13 +225,19 @@
     const auto [found, fresh] = addresses_.emplace(endpoint, address);
     if (fresh || found->second == address) return;
     found->second = address;
-    close_idle(endpoint);
+    withdraw(endpoint);
 }
 
 /// Another target may get its address: no connection made to the one that has gone may carry its calls.
 void Targets::forget(EndpointId endpoint) {
     addresses_.erase(endpoint);
+    withdraw(endpoint);
+}
+
+void Targets::withdraw(EndpointId endpoint) {
     close_idle(endpoint);
+    for (const auto& [name, connection] : calls_)
+        if (connection->endpoint() == endpoint && connection->connecting()) connection->withdraw();
 }
 
 void Targets::start(Call call) {
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -21,6 +21,7 @@
     MessageId message = 0;
     EndpointId endpoint = 0;
     std::uint32_t attempt = 0;
+    std::int64_t destination = 0;
     std::string key, body;
     cometspoke::Time time_out{0};
 };
@@ -30,13 +31,19 @@
 class Targets {
 public:
     using Done = std::function<void(cometspoke::OutcomeEvent)>;
+    /// The send gate: whether the process at this address may still have the call. Asked once a call, right
+    /// before its first byte is written; where it says no the outcome is NotSent, proven never to have run.
+    using May = std::function<bool(const Call&, const Tcp::endpoint&)>;
 
-    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done);
+    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, May may, Done done);
     ~Targets();
 
     void set_address(EndpointId endpoint, const Tcp::endpoint& address);
     /// Nothing new goes there; calls that are out are waited for.
     void forget(EndpointId endpoint);
+    /// It may have nothing new for now: idle connections are closed, and calls whose connection is still
+    /// being made end as NotSent. Calls that are out are waited for.
+    void withdraw(EndpointId endpoint);
     /// Its outcome comes by Done, never from within this call.
     void start(Call call);
     /// Its outcome comes at once.
@@ -59,6 +66,7 @@
     const Config& config_;
     cometspoke::Time longest_wait_;
     std::size_t most_;
+    May may_;
     Done done_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     std::map<EndpointId, Tcp::endpoint> addresses_;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -1,4 +1,4 @@
-#include "net/directory.hpp"
+#include "membership/directory.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/node_fixture.hpp
+++ b/tests/node_fixture.hpp
@@ -36,6 +36,16 @@
             if (path == "/reports") watches.push_back(exchange);
         }
     }
+    /// Watches go on coming meanwhile.
+    bool no_notice_within(std::chrono::milliseconds span) {
+        const auto until = Clock::now() + span;
+        while (Clock::now() < until) {
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Clock::now());
+            if (agent.none_within(left)) break;
+            if (std::string(agent.next().request.target()) == "/reports") return false;
+        }
+        return true;
+    }
     std::vector<Json> notices(const Exchange& report) {
         std::vector<Json> lines;
         std::istringstream stream(report.request.body());
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -113,7 +113,7 @@
         std::this_thread::sleep_for(400ms);  // what nothing names is forgotten meanwhile
     }
     call.answer(200);
-    EXPECT_TRUE(agent.none_within(500ms));
+    EXPECT_TRUE(no_notice_within(500ms));
     EXPECT_EQ(client.ask({"PING"}), "+PONG");
 }
 
