--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -663,10 +663,11 @@
                           (route.wait_until > now + kLongWait || (report && report->left > kRoomLeft));
         const bool no_room = outcome == Outcome::NoConnection && now - sent < kSlowConnect;
         // one may be lost on the way; with none made between them they are turned away for their number
-        if (no_room && endpoint.unconnected_at > endpoint.last_good) unconnected_[endpoint.kind] = now;
+        const bool again = no_room && endpoint.unconnected_at > endpoint.last_good;
+        if (again) unconnected_[endpoint.kind] = now;
         if (no_room) endpoint.unconnected_at = now;
-        // calls that broke off, then a refused connect: the process died
-        const bool died = no_room && endpoint.lost_at > endpoint.last_good;
+        // calls that broke off, then refused connects: the process died. One of each is the network's noise.
+        const bool died = again && endpoint.lost_at > endpoint.last_good;
         if (died) endpoint.failing = 1.0;
         if (!died && ((outcome == Outcome::TurnedAway && !shut) || no_room)) {
             if (report && report->limit > 0) return;  // its limit is used up: no outage
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -513,6 +513,27 @@
     EXPECT_EQ(rig.pass(ms(2500)).size(), 1u);
 }
 
+// A day of resets (wide+reset+stale): a broken call and a refused connect are the network's noise, and a
+// false outage costs a warm-up. Refused again with no answer between, the process has died.
+TEST(Health, OneBrokenCallAndOneRefusedConnectAreNoDeath) {
+    for (const int refused : {1, 2}) {
+        Rig rig;
+        rig.list(0, 1);
+        rig.arrive(1, 1, kFragile);
+        const auto first = rig.sends();
+        ASSERT_EQ(first.size(), 1u);
+        rig.outcome(first[0], Outcome::ConnectionLost);
+        rig.arrive(2, 1, kFragile);
+        for (int i = 0; i < refused; ++i) {
+            const auto next = rig.pass(ms(300));
+            ASSERT_EQ(next.size(), 1u);
+            rig.outcome(next[0].second, Outcome::NoConnection, static_cast<std::uint32_t>(i));
+        }
+        // fragile messages keep away from what is sick
+        EXPECT_EQ(rig.pass(ms(300)).size(), refused == 1 ? 1u : 0u) << refused;
+    }
+}
+
 // Incident i94fd2c: refusals of calls sent together are one piece of news, not a shut destination.
 TEST(Health, RefusalsOfCallsSentTogetherAreOnePieceOfNews) {
     Rig rig;
