--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr auto kHandOver = 450ms;   // new connections come for 0.4 s after SIGTERM
+// Clients keep their connections for this long: whoever is handed on early loads the others, and this
+// forwarder comes back at the same time. What comes last still has a second to be delivered.
+constexpr auto kHandOver = 2400ms;
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
 constexpr std::size_t kOtherDescriptors = 32;  // of the process beside clients and targets
