A test's comment says what the test shows

The comment over FollowsAnotherAgentWhateverTheFirstIsDoing spoke of notices, which it does not test. A post of notices that hangs has no test of its own yet: the scripted directory cannot make one hang.

--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -104,7 +104,8 @@
     ::testing::Values(R"({"cell":null})", R"({"flavor":"spaceship"})", R"({"locality":"mars"})",
         R"({"host_port":5})", R"({"size":"big"})", R"({"phase":5})"));
 
-// Notices have 300 ms beyond their message's time: a post that hangs must not use it up.
+// SIGHUP to another agent at any moment of a request to the first: what that one is doing must not hold it
+// up.
 TEST_F(MembershipTest, FollowsAnotherAgentWhateverTheFirstIsDoing) {
     for (const Kind kind : {Kind::Hang, Kind::Stop, Kind::Trickle, Kind::Huge, Kind::Refuse, Kind::Freeze}) {
         SCOPED_TRACE(static_cast<int>(kind));
