--- a/rig/directory.cpp
+++ b/rig/directory.cpp
@@ -1,6 +1,8 @@
 #include "rig/directory.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <ostream>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -20,16 +22,29 @@
 
 }  // namespace
 
-Kind fault_kind(const std::string& name) {
-    static const std::map<std::string, Kind> kinds{{"none", Kind::None}, {"hang", Kind::Hang},
+namespace {
+
+const std::map<std::string, Kind>& fault_names() {
+    static const std::map<std::string, Kind> names{{"none", Kind::None}, {"hang", Kind::Hang},
         {"stop", Kind::Stop}, {"cut", Kind::Cut}, {"reset", Kind::Reset}, {"trickle", Kind::Trickle},
         {"late", Kind::Late}, {"garbage", Kind::Garbage}, {"no_json", Kind::NoJson}, {"huge", Kind::Huge},
         {"interim", Kind::Interim}, {"twice", Kind::Twice}, {"status", Kind::Status},
         {"refuse", Kind::Refuse}, {"freeze", Kind::Freeze}};
-    const auto found = kinds.find(name);
-    if (found == kinds.end()) throw std::invalid_argument("no fault is named " + name);
+    return names;
+}
+
+}  // namespace
+
+Kind fault_kind(const std::string& name) {
+    const auto found = fault_names().find(name);
+    if (found == fault_names().end()) throw std::invalid_argument("no fault is named " + name);
     return found->second;
 }
+std::ostream& operator<<(std::ostream& out, const ListFault& fault) {
+    for (const auto& [name, kind] : fault_names())
+        if (kind == fault.kind) out << name;
+    return out << "_" << fault.at << "_" << fault.span.count() << "ms";
+}
 
 Directory::Directory(const Tcp::endpoint& address)
     : server_(
@@ -73,9 +88,14 @@
     const std::lock_guard lock(mutex_);
     faults_.push_back(fault);
 }
+void Directory::post_fault(PostFault fault, std::size_t times) {
+    const std::lock_guard lock(mutex_);
+    post_faults_.insert(post_faults_.end(), times, fault);
+}
 void Directory::clear_faults() {
     const std::lock_guard lock(mutex_);
     faults_.clear();
+    post_faults_.clear();
 }
 
 std::optional<Clock::time_point> Directory::stop_told(const std::string& id) const {
@@ -91,6 +111,15 @@
     const std::lock_guard lock(mutex_);
     return notices_;
 }
+std::size_t Directory::notices_of(const std::string& id) const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(
+        notices_.begin(), notices_.end(), [&](const Json& one) { return one.at("ref") == id; }));
+}
+std::size_t Directory::posts() const {
+    const std::lock_guard lock(mutex_);
+    return posts_;
+}
 std::int64_t Directory::revision() const {
     const std::lock_guard lock(mutex_);
     return revision_;
@@ -111,14 +140,25 @@
 
 void Directory::handle(const std::shared_ptr<Peer>& peer, const Request& request) {
     const std::string path(request.target());
-    if (path == "/reports") {
-        const std::lock_guard lock(mutex_);
-        std::istringstream lines(request.body());
+    if (path == "/reports") return take_notices(peer, request.body());
+    list(peer, path);
+}
+
+void Directory::take_notices(const std::shared_ptr<Peer>& peer, const std::string& body) {
+    const std::lock_guard lock(mutex_);
+    ++posts_;
+    std::optional<PostFault> fault;
+    if (!post_faults_.empty()) {
+        fault = post_faults_.front();
+        post_faults_.pop_front();
+    }
+    if (fault != PostFault::Deaf) {
+        std::istringstream lines(body);
         for (std::string line; std::getline(lines, line);) notices_.push_back(Json::parse(line));
-        changed_.notify_all();
-        return peer->write(answer(204, ""), [peer](auto) { peer->read(); });
     }
-    list(peer, path);
+    changed_.notify_all();
+    if (fault) return peer->after(60s, [] {});
+    peer->write(answer(204, ""), [peer](auto) { peer->read(); });
 }
 
 void Directory::list(const std::shared_ptr<Peer>& peer, const std::string& path) {
--- a/rig/directory.hpp
+++ b/rig/directory.hpp
@@ -44,6 +44,11 @@
 };
 /// By its name in lower case, as in a script; throws std::invalid_argument.
 ListFault::Kind fault_kind(const std::string& name);
+/// As a test's name shows it.
+std::ostream& operator<<(std::ostream& out, const ListFault& fault);
+
+/// What a post of notices meets: it is never answered, and its notices were heard (Mute) or not (Deaf).
+enum class PostFault { Deaf, Mute };
 
 class Directory {
 public:
@@ -59,12 +64,16 @@
     /// The agent starts anew and counts from `revision`; the list stays.
     void count_anew(std::int64_t revision);
     void fault(const ListFault& fault);
+    void post_fault(PostFault fault, std::size_t times = 1);
     void clear_faults();
 
     /// When an entry that stops this target was first written whole; none if it was not.
     std::optional<Clock::time_point> stop_told(const std::string& id) const;
     std::vector<std::string> requests() const;  ///< paths of list requests, in order
     std::vector<Json> notices() const;
+    /// How often the end of this message was told.
+    std::size_t notices_of(const std::string& id) const;
+    std::size_t posts() const;  ///< requests with notices, answered or not
     /// Waits until `revision` was asked from, which says that it was taken; false after `within`.
     bool wait_asked_from(std::int64_t revision, std::chrono::milliseconds within) const;
     std::int64_t revision() const;
@@ -83,6 +92,7 @@
 
     void handle(const std::shared_ptr<Peer>& peer, const Request& request);
     void list(const std::shared_ptr<Peer>& peer, const std::string& path);
+    void take_notices(const std::shared_ptr<Peer>& peer, const std::string& body);
     void answer_held();
     void reply(const std::shared_ptr<Peer>& peer, std::optional<std::int64_t> from);
     void misbehave(const std::shared_ptr<Peer>& peer, const ListFault& fault, const std::string& body);
@@ -97,6 +107,8 @@
     std::vector<Version> versions_;
     std::int64_t revision_ = 1, oldest_ = 1;
     std::deque<ListFault> faults_;
+    std::deque<PostFault> post_faults_;
+    std::size_t posts_ = 0;
     std::vector<Held> held_;
     std::uint64_t holds_ = 0;
     std::map<std::string, Clock::time_point> stops_;
--- /dev/null
+++ b/rig/node.hpp
@@ -0,0 +1,103 @@
+/// The built program as a child process, with a folder, a configuration and a plain client, on loopback.
+///
+/// Every wait is for an event, with a deadline far beyond what a loaded machine needs.
+#pragma once
+
+#include <sys/types.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lockgw::rig {
+
+constexpr std::chrono::seconds kDeadline{20};
+
+class TemporaryFolder {
+public:
+    TemporaryFolder();
+    TemporaryFolder(const TemporaryFolder&) = delete;
+    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+    ~TemporaryFolder();
+    const std::filesystem::path& path() const { return path_; }
+
+private:
+    std::filesystem::path path_;
+};
+
+/// Three classes (safe, keyed, unsafe), one tenant, small limits: each test sets what it needs.
+nlohmann::json make_config(const std::string& listen, const std::string& discovery);
+std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint);
+/// Words as a RESP2 command.
+std::string command(const std::vector<std::string>& words);
+
+/// A client connection that speaks RESP2, one step after another.
+class Client {
+public:
+    explicit Client(const boost::asio::ip::tcp::endpoint& address);
+    void send(const std::string& bytes);
+    /// One line without its end; empty where the connection ended.
+    std::string line();
+    bool ended() { return line().empty() && failed_.failed(); }
+    std::string ask(const std::vector<std::string>& words);
+    /// Closes with a reset.
+    void reset();
+
+private:
+    bool wait();
+
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::system::error_code failed_;
+};
+
+/// An address stays the same over restarts. Throws std::runtime_error where the program is not ready in time.
+class Node {
+public:
+    Node(nlohmann::json config, std::string program);
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+    ~Node();
+
+    void start();
+    void start_ready();
+    void kill();
+    void terminate();
+    /// Puts another file in the place of the configuration and tells the program.
+    void reload(const std::string& text);
+    /// How it ended, as waitpid tells it.
+    int wait();
+    /// The limit on descriptors that it is started with; 0: this process's own.
+    void limit_descriptors(std::size_t most) { descriptors_ = most; }
+
+    pid_t pid() const { return pid_; }
+    const boost::asio::ip::tcp::endpoint& address() const { return address_; }
+    Client client() const { return Client(address_); }
+    bool refuses() const;
+    std::filesystem::path state() const { return folder_.path() / "state"; }
+    std::filesystem::path log_path() const { return folder_.path() / "log"; }
+    std::string log() const;
+    bool logs(const std::string& text) const;
+    nlohmann::json& config() { return config_; }
+    /// CPU seconds used so far, and resident memory in bytes.
+    double cpu_seconds() const;
+    std::size_t resident_bytes() const;
+    std::size_t descriptors() const;
+
+private:
+    std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
+    void write_config(const std::string& text) const;
+
+    TemporaryFolder folder_;
+    nlohmann::json config_;
+    std::string program_;
+    boost::asio::ip::tcp::endpoint address_;
+    std::size_t descriptors_ = 0;
+    pid_t pid_ = 0;
+};
+
+}  // namespace lockgw::rig
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,244 +1,77 @@
 #include "clients.hpp"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <charconv>
+#include <boost/asio/post.hpp>
 #include <iostream>
 #include <utility>
 
 namespace lockgw {
 
+using admission::Class;
+using admission::Overload;
 using cometspoke::settings::BadInput;
-using cometspoke::settings::index_of;
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
 
 namespace {
 
 constexpr auto kAcceptPause = 20ms;  // after a failed accept, such as one for want of descriptors
+constexpr auto kRoomPause = 5ms;     // until somebody's grace is over
 constexpr auto kSweep = 200ms;
-constexpr auto kSilent = 2s;      // a client that has asked for nothing is waited for so long,
-constexpr auto kUnfinished = 2s;  // so long for the rest of a command,
-constexpr auto kUnread = 2s;      // so long for a client to take its answer,
-constexpr auto kLinger = 500ms;   // and so long for it to read a last -ERR
-constexpr auto kIdle = std::chrono::seconds(60);          // between requests; where room is short only
-constexpr auto kIdleWhenShort = std::chrono::seconds(2);  // so long
-constexpr auto kJustConnected = 100ms;                    // its request is likely on the way
-constexpr std::size_t kBufferShare = 8;                   // of the memory: for commands that have not ended
-constexpr std::size_t kMostDiscarded = 256 * 1024;        // of what follows a last -ERR
-constexpr double kLongestMs = 86.4e6;                     // a day: no class keeps a message so long
-constexpr std::size_t kLongestKey = 128;
-
-template <class T>
-T number_of(std::string_view text, const char* what) {
-    T value{};
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (parsed.ec != std::errc() || parsed.ptr != end) throw BadInput(std::string("bad number for ") + what);
-    return value;
+constexpr auto kTell = 5s;  // between log lines
+constexpr auto kHandOnStep = 20ms;
+constexpr std::size_t kAccepts = 64;        // in one turn of the loop
+constexpr std::size_t kBatch = 128;         // requests handed on in one turn
+constexpr std::size_t kLastAccepts = 8192;  // when the listener closes: more than its queue holds
+constexpr std::size_t kMemoryShare =
+    8;  // of the memory: for commands that have not ended, and for those that wait
+constexpr std::uint64_t kCostUnit = 4096;  // bytes of a body that weigh as much as one more request
+constexpr std::uint64_t kLeastQuantum = 18, kMostQuantum = 1800;  // a body of 64 KiB goes in one round
+constexpr admission::Owner kTenant = admission::Owner{1} << 40;   // tenants beside sources
+
+admission::DoorLimits limits_of(std::size_t most) {
+    admission::DoorLimits limits;
+    limits.most = most;
+    return limits;
 }
 
-/// "c=notice,t=acme,d=8000" as names and values; a name that is unknown here is passed over.
-std::map<std::string, std::string> pairs_of(const std::string& text) {
-    std::map<std::string, std::string> pairs;
-    for (std::size_t at = 0; at < text.size();) {
-        const std::size_t end = std::min(text.find(',', at), text.size());
-        const std::string pair = text.substr(at, end - at);
-        const std::size_t equals = pair.find('=');
-        if (equals == std::string::npos) throw BadInput("a name without a value");
-        pairs.insert_or_assign(pair.substr(0, equals), pair.substr(equals + 1));
-        at = end + 1;
-    }
-    return pairs;
+admission::Owner source_of(const Tcp::endpoint& from) {
+    return from.address().is_v4() ? from.address().to_v4().to_uint()
+                                  : std::hash<std::string>{}(from.address().to_string()) % kTenant;
 }
 
-/// The key goes on as a header of the call: nothing that could end a header line may be in it.
-void check_key(const std::string& key) {
-    if (key.size() > kLongestKey) throw BadInput("k is too long");
-    for (const char letter : key)
-        if (letter <= ' ' || letter > '~') throw BadInput("k holds an unprintable character");
+/// Rounds are shared out as the tenants' quotas are.
+std::uint64_t quantum_of(const Config& config, std::size_t tenant) {
+    double least = 0;
+    for (const auto& one : config.settings.tenants)
+        if (one.quota_per_s > 0 && (least == 0 || one.quota_per_s < least)) least = one.quota_per_s;
+    const double own = config.settings.tenants[tenant].quota_per_s;
+    if (least == 0 || own <= 0) return kLeastQuantum;
+    return std::min(kMostQuantum, static_cast<std::uint64_t>(kLeastQuantum * own / least));
 }
 
-}  // namespace
-
-Message message_of(const resp::Command& command, const Config& config, Wall now, cometspoke::Time& left) {
-    if (command.size() != 5) throw BadInput("wrong number of arguments for ENQUEUE");
-    auto pairs = pairs_of(command[3]);
-    const auto value = [&pairs](const char* name) -> const std::string& {
-        const auto found = pairs.find(name);
-        if (found == pairs.end()) throw BadInput(std::string("missing ") + name);
-        return found->second;
-    };
-    Message message;
-    message.id = cometspoke::settings::id_of(command[2]);
-    message.message_class = value("c");
-    const std::size_t index = index_of(config.names.classes, message.message_class, "class");
-    if (!config.names.tenants.empty()) {
-        message.tenant = value("t");
-        index_of(config.names.tenants, message.tenant, "tenant");
-    }
-    const bool keyed = config.settings.classes[index].effect == cometspoke::Effect::Dedup;
-    if (keyed || pairs.contains("k")) message.key = value("k");
-    check_key(message.key);
-    message.destination = number_of<std::int64_t>(value("dest"), "dest");
-    const auto left_ms = number_of<double>(value("d"), "d");
-    if (!(left_ms >= 0 && left_ms <= kLongestMs)) throw BadInput("bad number for d");
-    // no message of the class may be delivered for longer, whatever its client says
-    left = std::min(cometspoke::settings::from_ms(left_ms), config.settings.classes[index].deadline);
-    message.deadline = now + left;
-    message.body = command[4];
-    return message;
+std::string busy(std::chrono::milliseconds wait) {
+    return resp::error("BUSY " + std::to_string(wait.count()));
 }
 
-/// One connection: reads a command, has it answered, writes the answer, and only then goes on.
-class ClientSession : public std::enable_shared_from_this<ClientSession> {
-public:
-    using State = Clients::State;
-
-    ClientSession(Tcp::socket socket, Clients& owner) : socket_(std::move(socket)), owner_(owner) {}
-
-    void start() {
-        boost::system::error_code ignored;
-        socket_.set_option(Tcp::no_delay(true), ignored);
-        socket_.non_blocking(true, ignored);
-        auto& silent = owner_.sessions_[state_];
-        place_ = silent.insert(silent.end(), shared_from_this());
-        ++owner_.count_;
-        await();
-    }
-
-    Clock::time_point since() const { return since_; }
-    /// Something has come that is not read yet: to close now would lose a request.
-    bool unread() {
-        boost::system::error_code failed;
-        return socket_.available(failed) > 0;
-    }
-
-    void close() {
-        if (closed_) return;
-        closed_ = true;
-        boost::system::error_code ignored;
-        socket_.close(ignored);
-        const auto self = shared_from_this();
-        owner_.sessions_[state_].erase(place_);
-        --owner_.count_;
-        owner_.buffered_ -= std::exchange(buffered_, 0);
-        owner_.accept();
-    }
-
-    /// A last answer, and a close once it is written.
-    void turn_away(const std::string& why) {
-        last_ = true;
-        parser_ = resp::Parser();
-        count_buffered();
-        write(resp::error("ERR " + why));
-    }
-
-private:
-    void enter(State state) {
-        since_ = Clock::now();
-        auto& place = owner_.sessions_[state];
-        place.splice(place.end(), owner_.sessions_[state_], place_);
-        state_ = state;
-    }
-
-    /// No buffer of its own: many connections are silent.
-    void await() {
-        if (std::exchange(awaiting_, true)) return;
-        socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](auto failed) {
-            self->awaiting_ = false;
-            if (self->closed_) return;
-            failed ? self->close() : self->take();
-        });
-    }
-    void take() try {
-        boost::system::error_code failed;
-        const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
-        if (failed == asio::error::would_block) return await();
-        if (failed) return close();
-        if (last_) return discard(count);
-        parser_.feed({owner_.in_.data(), count});
-        next();
-    } catch (const std::exception& fault) {
-        std::cerr << "client: " << fault.what() << '\n';
-        close();
-    }
-
-    void next() try {
-        const auto command = parser_.next();
-        count_buffered();
-        if (command) {
-            enter(State::Asked);
-            return owner_.handle(
-                *command, [self = shared_from_this()](std::string text) { self->answer(std::move(text)); });
-        }
-        if (parser_.midway()) {
-            if (state_ != State::Partly) enter(State::Partly);
-            owner_.bound_buffers();
-            if (last_) return;
-        } else {
-            if (owner_.draining_ && !unread()) return close();
-            if (state_ != State::Silent) enter(State::Idle);
-            owner_.accept();  // at the limit its place may go to a client that waits
-            if (closed_) return;
-        }
-        await();
-    } catch (const resp::Unreadable& bad) {
-        turn_away(bad.what());
-    }
-
-    void count_buffered() {
-        owner_.buffered_ += parser_.held() - buffered_;
-        buffered_ = parser_.held();
-    }
-
-    void answer(std::string text) {
-        if (!closed_) write(std::move(text));
-    }
-    void write(std::string text) {
-        enter(State::Writing);
-        out_ = std::move(text);
-        asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](auto failed, std::size_t) {
-            if (self->closed_) return;
-            if (failed) return self->close();
-            self->last_ ? self->finish() : self->next();
-        });
-    }
-
-    /// Closing with bytes unread would reset the connection and might take the -ERR with it.
-    void finish() {
-        enter(State::Leaving);
-        boost::system::error_code ignored;
-        socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        await();
-    }
-    void discard(std::size_t count) {
-        discarded_ += count;
-        discarded_ > kMostDiscarded ? close() : await();
-    }
-
-    Tcp::socket socket_;
-    Clients& owner_;
-    State state_ = State::Silent;
-    Clients::Sessions::iterator place_;
-    Clock::time_point since_ = Clock::now();
-    resp::Parser parser_;
-    std::string out_;
-    std::size_t buffered_ = 0, discarded_ = 0;
-    bool awaiting_ = false, last_ = false, closed_ = false;
-};
+}  // namespace
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Enqueue enqueue)
     : io_(io),
       config_(config),
-      most_(most_connections),
       enqueue_(std::move(enqueue)),
+      door_(limits_of(most_connections)),
+      overload_({}),
+      waiting_(most_connections),
       acceptor_(io),
       pause_(io),
-      sweep_(io) {}
+      sweep_(io),
+      hand_on_(io) {}
 Clients::~Clients() = default;
 
+// ---- connections ----
+
 void Clients::listen() {
     acceptor_.open(config_.listen.protocol());
     acceptor_.set_option(Tcp::acceptor::reuse_address(true));
@@ -250,107 +83,266 @@
 }
 
 void Clients::accept() {
-    if (draining_ || accepting_ || !make_room()) return;  // room is made by a close, which may accept too
-    if (accepting_) return;
-    accepting_ = true;
-    acceptor_.async_accept([this](auto failed, Tcp::socket socket) {
-        accepting_ = false;
-        if (draining_ && failed) return;
-        if (!failed) {
-            accepted(std::move(socket));
-            return accept();
-        }
-        pause_.expires_after(kAcceptPause);
+    make_room();
+    if (draining_ || accepting_ || pausing_) return;
+    if (door_.room() == 0) {  // somebody's grace is over soon, or an answer is written
+        pausing_ = true;
+        pause_.expires_after(kRoomPause);
         pause_.async_wait([this](auto cancelled) {
+            pausing_ = false;
             if (!cancelled) accept();
         });
+        return;
+    }
+    accepting_ = true;
+    acceptor_.async_wait(Tcp::acceptor::wait_read, [this](auto failed) {
+        accepting_ = false;
+        if (draining_ || failed) return;
+        accept_waiting(kAccepts);
+        accept();
     });
 }
 
-void Clients::accepted(Tcp::socket socket) {
-    std::make_shared<ClientSession>(std::move(socket), *this)->start();
+void Clients::accept_waiting(std::size_t most) {
+    for (std::size_t i = 0; i < most; ++i) {
+        make_room();
+        if (door_.room() == 0) return;
+        Tcp::endpoint from;
+        boost::system::error_code failed;
+        Tcp::socket socket = acceptor_.accept(from, failed);
+        if (failed == asio::error::would_block) return;
+        if (failed == asio::error::connection_aborted) continue;
+        if (failed) return accept_failed(failed);
+        ++counters_.accepted;
+        const admission::Owner source = source_of(from);
+        const auto ticket = door_.enter(source, Clock::now());
+        const auto session = std::make_shared<ClientSession>(std::move(socket), *this, ticket, source);
+        sessions_.emplace(ticket, session);
+        session->start();
+    }
 }
 
-/// At the limit one that has its answer or has asked for nothing goes, the longest so first; half a command
-/// and what was just connected come last, and one with a request open never goes.
-bool Clients::make_room() {
-    if (count_ < most_) return true;
-    return close_first(Leaving, 0s) || close_first(Silent, kJustConnected) ||
-           close_first(Idle, kIdleWhenShort) || close_first(Partly, kUnfinished / 4) ||
-           close_first(Idle, 0s) || close_first(Silent, 0s);
+/// Mostly for want of descriptors, which others of this machine may hold: one is given back, for the next.
+void Clients::accept_failed(const boost::system::error_code& why) {
+    if (++counters_.accept_failed == 1) std::cerr << "door: cannot accept: " << why.message() << '\n';
+    if (const auto farewell = door_.hand_on()) send_away(*farewell);
+    if (std::exchange(pausing_, true)) return;
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([this](auto cancelled) {
+        pausing_ = false;
+        if (!cancelled) accept();
+    });
 }
-/// The one that came to this state first, if that is so long ago.
-bool Clients::close_first(State state, Clock::duration rest) {
-    Sessions& all = sessions_[state];
-    if (all.empty()) return false;
-    const auto session = all.front();
-    if (Clock::now() - session->since() < rest) return false;
-    if ((state == Silent || state == Idle) && session->unread()) return false;
-    session->close();
-    return true;
+
+/// Closes whom the door names. Bounded: who is read instead may stay, and is named again if it must.
+void Clients::make_room() {
+    if (std::exchange(making_room_, true)) return;
+    for (std::size_t i = 0; i < kAccepts; ++i) {
+        const auto farewell = door_.for_room(Clock::now());
+        if (!farewell) break;
+        send_away(*farewell);
+    }
+    making_room_ = false;
+}
+
+void Clients::send_away(const admission::Door::Farewell& farewell) {
+    const Session session = sessions_.at(farewell.ticket);
+    const auto from = static_cast<std::size_t>(farewell.from);
+    const bool may_ask = farewell.from == Class::Partly
+                             ? farewell.for_room
+                             : farewell.from != Class::Writing && farewell.from != Class::Leaving;
+    if (may_ask && session->unread()) return session->read_now();  // it has asked meanwhile
+    ++(farewell.for_room ? counters_.for_room : counters_.timed_out)[from];
+    if (farewell.from == Class::Partly)
+        return session->turn_away(farewell.for_room ? busy(overload_.told_wait(Clock::now()))
+                                                    : resp::error("ERR a command without an end"));
+    session->close(farewell.for_room);
+}
+
+void Clients::closed(const ClientSession& session, bool for_room) {
+    door_.left(session.ticket(), for_room);
+    sessions_.erase(session.ticket());
+    if (!making_room_) accept();
 }
 
 /// Many that each send half of a long command must not fill the memory.
 void Clients::bound_buffers() {
-    const std::size_t most = config_.memory_bytes / kBufferShare;
-    while (buffered_ > most && !sessions_[Partly].empty())
-        std::shared_ptr(sessions_[Partly].front())->turn_away("too much at once");
+    const std::size_t most = config_.memory_bytes / kMemoryShare;
+    while (buffered_ > most) {
+        const auto first = door_.first(Class::Partly);
+        if (!first) return;
+        ++counters_.too_much;
+        Session(sessions_.at(*first))->turn_away(resp::error("ERR too much at once"));
+    }
 }
 
 /// What is owed to every connection in time: an answer or a close.
 void Clients::sweep() {
-    while (close_first(Silent, kSilent)) continue;
-    while (close_first(Writing, kUnread)) continue;
-    while (close_first(Leaving, kLinger)) continue;
-    while (close_first(Idle, count_ > most_ / 2 ? kIdleWhenShort : kIdle)) continue;
-    Sessions& partly = sessions_[Partly];
-    while (!partly.empty() && Clock::now() - partly.front()->since() >= kUnfinished)
-        std::shared_ptr(partly.front())->turn_away("a command without an end");
+    for (std::size_t i = 0; i < door_.count() + 1; ++i) {
+        const auto farewell = door_.overdue(Clock::now());
+        if (!farewell) break;
+        send_away(*farewell);
+    }
+    tell();
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](auto cancelled) {
         if (!cancelled) sweep();
     });
 }
 
-void Clients::drain() {
-    accept_waiting();
-    draining_ = true;
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    for (const State state : {Silent, Idle}) {
-        const Sessions all = sessions_[state];
-        for (const auto& session : all)
-            if (!session->unread()) session->close();
-    }
+/// One line now and then, while there is something to tell.
+void Clients::tell() {
+    const auto now = Clock::now();
+    if (now - told_at_ < kTell) return;
+    const auto sum = [](const auto& from) {
+        std::uint64_t all = 0;
+        for (const auto one : from) all += one;
+        return all;
+    };
+    const auto since = [this](auto DoorCounters::*which) { return counters_.*which - told_.*which; };
+    const auto for_room = sum(counters_.for_room) - sum(told_.for_room);
+    if (for_room == 0 && since(&DoorCounters::refused) == 0 && since(&DoorCounters::gone) == 0 &&
+        since(&DoorCounters::accept_failed) == 0 && since(&DoorCounters::too_much) == 0)
+        return;
+    told_at_ = now;
+    std::cerr << "door: " << since(&DoorCounters::accepted) << " accepted, " << for_room
+              << " closed for room (";
+    for (std::size_t i = 0; i < admission::kClasses; ++i)
+        if (const auto count = counters_.for_room[i] - told_.for_room[i]; count > 0)
+            std::cerr << ' ' << count << ' ' << admission::text_of(static_cast<Class>(i));
+    std::cerr << " ), " << since(&DoorCounters::served) << " requests handed on, "
+              << since(&DoorCounters::refused) << " refused after a wait, " << since(&DoorCounters::gone)
+              << " given up by their clients, " << since(&DoorCounters::too_much) << " for want of memory, "
+              << since(&DoorCounters::accept_failed) << " accepts failed; now " << door_.count()
+              << " connections, " << door_.unproved() << " unproved\n";
+    told_ = counters_;
 }
 
-/// Closing the listener resets connections that wait in its queue, with the requests written to them.
-void Clients::accept_waiting() {
-    boost::system::error_code failed;
-    while (count_ < most_) {
-        Tcp::socket socket = acceptor_.accept(failed);
-        if (failed) return;
-        accepted(std::move(socket));
-    }
-}
+// ---- requests ----
 
-void Clients::handle(const resp::Command& command, const Answer& answer) {
+void Clients::handle(const Session& session, const resp::Command& command) {
     using boost::algorithm::iequals;
     if (iequals(command[0], "PING"))
-        return answer(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"));
-    if (!iequals(command[0], "ENQUEUE")) return answer(resp::error("ERR unknown command"));
-    cometspoke::Time left{0};
-    Message message;
+        return session->answer(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"), false);
+    if (!iequals(command[0], "ENQUEUE")) return session->answer(resp::error("ERR unknown command"), false);
+    if (!turned_away(session)) take_in(session, command);
+}
+
+/// Cheap: before anything of the request is read, and without the journal.
+bool Clients::turned_away(const Session& session) {
+    const auto now = Clock::now();
+    const auto verdict = overload_.judge(now - session->arrived(), now);
+    if (verdict == Overload::Verdict::Serve) return false;
+    if (verdict == Overload::Verdict::Gone && session->hung_up()) {
+        ++counters_.gone;
+        session->close();
+        return true;
+    }
+    if (verdict == Overload::Verdict::Gone && !overload_.overloaded()) return false;  // a patient one
+    ++counters_.refused;
+    session->answer(busy(overload_.told_wait(now)), true);
+    return true;
+}
+
+void Clients::take_in(const Session& session, const resp::Command& command) {
+    Request request;
+    request.session = session;
     try {
         const auto now = std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now());
-        message = message_of(command, config_, now, left);
+        request.message = message_of(command, config_, now, request.left);
     } catch (const BadInput& bad) {
         std::string text = std::string("ERR ") + bad.what();
         for (char& letter : text)  // what the client sent stands in it
             if (letter < ' ' || letter > '~') letter = '?';
-        return answer(resp::error(text));
+        return session->answer(resp::error(text), false);
+    }
+    request.cost = command[4].size();
+    queue(std::move(request));
+}
+
+void Clients::queue(Request request) {
+    admission::Owner flow = request.session->source();
+    std::uint64_t quantum = kLeastQuantum;
+    if (!request.message.tenant.empty()) {
+        const std::size_t tenant = config_.names.tenants.at(request.message.tenant);
+        flow = kTenant + tenant;
+        quantum = quantum_of(config_, tenant);
+        door_.told_tenant(request.session->ticket(), flow);
+    }
+    queued_ += request.cost;
+    const std::uint64_t cost = 1 + request.cost / kCostUnit;
+    const auto lost = waiting_.push(flow, std::move(request), cost, quantum);
+    if (lost) {
+        queued_ -= lost->cost;
+        ++counters_.too_much;
+        lost->session->answer(busy(overload_.told_wait(Clock::now())), true);
+    }
+    if (std::exchange(working_, true)) return;
+    asio::post(io_, [this] { work(); });
+}
+
+/// A bounded part of what waits, all of it told to the module before its one decision; the rest in the next
+/// turn of the loop, after what else has come.
+void Clients::work() {
+    const bool short_of_memory = queued_ > config_.memory_bytes / kMemoryShare;
+    for (std::size_t i = 0; i < kBatch && !waiting_.empty(); ++i) {
+        Request request = waiting_.pop(overload_.overloaded());
+        queued_ -= request.cost;
+        if (short_of_memory && queued_ > config_.memory_bytes / kMemoryShare) {
+            ++counters_.too_much;
+            request.session->answer(busy(overload_.told_wait(Clock::now())), true);
+        } else if (!turned_away(request.session)) {
+            hand_in(std::move(request));
+        }
+    }
+    working_ = !waiting_.empty();
+    if (working_) asio::post(io_, [this] { work(); });
+}
+
+void Clients::hand_in(Request request) {
+    ++counters_.served;
+    enqueue_(
+        std::move(request.message), request.left, [session = std::move(request.session)](std::string text) {
+            const bool useful = text.front() == '+' || text.compare(0, 5, "-BUSY") == 0;
+            session->answer(std::move(text), useful);
+        });
+}
+
+// ---- the end ----
+
+void Clients::hand_on(std::chrono::milliseconds span) {
+    hand_on_steps_ = std::max<std::size_t>(1, static_cast<std::size_t>(span / kHandOnStep));
+    hand_on_some();
+}
+
+/// All at once would fall on the others in one instant.
+void Clients::hand_on_some() {
+    if (draining_) return;
+    if (hand_on_steps_ == 0) return drain();
+    const std::size_t resting = door_.count(Class::Silent) + door_.count(Class::Probed) +
+                                door_.count(Class::Proved) + door_.count(Class::Regular);
+    for (std::size_t left = (resting + hand_on_steps_ - 1) / hand_on_steps_; left > 0; --left)
+        if (const auto farewell = door_.hand_on()) send_away(*farewell);
+    --hand_on_steps_;
+    hand_on_.expires_after(kHandOnStep);
+    hand_on_.async_wait([this](auto cancelled) {
+        if (!cancelled) hand_on_some();
+    });
+}
+
+/// Closing the listener resets connections that wait in its queue, with the requests written to them.
+void Clients::drain() {
+    if (draining_) return;
+    accept_waiting(kLastAccepts);
+    draining_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+    for (std::size_t left = door_.count(); left > 0; --left) {
+        const auto farewell = door_.hand_on();
+        if (!farewell) return;
+        send_away(*farewell);
     }
-    enqueue_(std::move(message), left, answer);
 }
 
 }  // namespace lockgw
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -1,24 +1,39 @@
 /// The listener and its client connections: RESP2 requests in, one answer for each.
 ///
-/// Anybody may connect, and send anything or nothing. Every connection gets an answer or a close in time, and
-/// those that ask for nothing never keep out one that does.
+/// Anybody may connect, and send anything or nothing. Who may hold a place, who gives one up, whose request
+/// is taken next and who is turned away is decided in src/admission (docs/admission.md); this carries it out.
+/// Every connection gets an answer or a close in time.
 #pragma once
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
+#include "admission/door.hpp"
+#include "admission/fair_queue.hpp"
+#include "admission/overload.hpp"
 #include "config.hpp"
+#include "enqueue.hpp"
 #include "journal.hpp"
 #include "resp.hpp"
+#include "session.hpp"
 
 namespace lockgw {
 
-class ClientSession;
+/// What happened at the door since the start.
+struct DoorCounters {
+    std::uint64_t accepted = 0, accept_failed = 0;
+    std::uint64_t refused = 0;   ///< requests that had waited too long: -BUSY
+    std::uint64_t gone = 0;      ///< requests whose client had given up
+    std::uint64_t too_much = 0;  ///< requests and half commands for want of memory
+    std::uint64_t served = 0;    ///< requests handed on
+    std::array<std::uint64_t, admission::kClasses> for_room{}, timed_out{};
+};
 
 class Clients {
 public:
@@ -30,48 +45,60 @@
     ~Clients();
 
     void listen();
+    /// Hands on those that rest, a few at a time over `span`, then as drain().
+    void hand_on(std::chrono::milliseconds span);
     /// No new connections; those there are close between requests.
     void drain();
-    bool empty() const { return count_ == 0; }
+    bool empty() const { return door_.count() == 0; }
+    const DoorCounters& counters() const { return counters_; }
 
 private:
     friend class ClientSession;
-    using Clock = std::chrono::steady_clock;
-    /// In the order in which they came to their present state.
-    using Sessions = std::list<std::shared_ptr<ClientSession>>;
-    enum State {
-        Silent,   ///< connected, and nothing has come
-        Idle,     ///< between requests
-        Partly,   ///< a command has begun and not ended
-        Asked,    ///< a command waits for its answer
-        Writing,  ///< an answer is on its way
-        Leaving,  ///< it has its last answer
-        States
+    using Session = std::shared_ptr<ClientSession>;
+    struct Request {
+        Session session;
+        Message message;
+        cometspoke::Time left{};
+        std::size_t cost = 0;
     };
 
+    // connections
     void accept();
-    void accepted(Tcp::socket socket);
-    void accept_waiting();
-    bool make_room();
-    bool close_first(State state, Clock::duration rest);
+    void accept_waiting(std::size_t most);
+    void accept_failed(const boost::system::error_code& why);
+    void make_room();
+    void send_away(const admission::Door::Farewell& farewell);
     void sweep();
+    void closed(const ClientSession& session, bool for_room);
+    void buffered(std::size_t before, std::size_t after) { buffered_ += after - before; }
     void bound_buffers();
-    void handle(const resp::Command& command, const Answer& answer);
+    void hand_on_some();
+    void tell();
+
+    // requests
+    void handle(const Session& session, const resp::Command& command);
+    void take_in(const Session& session, const resp::Command& command);
+    bool turned_away(const Session& session);
+    void queue(Request request);
+    void work();
+    void hand_in(Request request);
 
     asio::io_context& io_;
     const Config& config_;
-    std::size_t most_;
     Enqueue enqueue_;
+    admission::Door door_;
+    admission::Overload overload_;
+    admission::FairQueue<Request> waiting_;
     Tcp::acceptor acceptor_;
-    asio::steady_timer pause_, sweep_;
-    bool accepting_ = false, draining_ = false;
-    std::array<Sessions, States> sessions_;
-    std::size_t count_ = 0;             // of all sessions
-    std::size_t buffered_ = 0;          // bytes of commands that have not ended
+    asio::steady_timer pause_, sweep_, hand_on_;
+    bool accepting_ = false, pausing_ = false, draining_ = false, making_room_ = false, working_ = false;
+    std::unordered_map<admission::Ticket, Session> sessions_;
+    std::size_t buffered_ = 0;  // bytes of commands that have not ended
+    std::size_t queued_ = 0;    // bytes of requests that wait
+    std::size_t hand_on_steps_ = 0;
+    DoorCounters counters_, told_;
+    std::chrono::steady_clock::time_point told_at_{};
     std::array<char, 16 * 1024> in_{};  // of the connection that is read just now
 };
 
-/// An ENQUEUE's words as a message; `left` is its `d`. Throws BadInput naming what is wrong.
-Message message_of(const resp::Command& command, const Config& config, Wall now, cometspoke::Time& left);
-
 }  // namespace lockgw
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,8 @@
 #include "config.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -7,6 +10,8 @@
 namespace lockgw {
 namespace {
 
+constexpr int kLeastSockets = 64;
+
 using cometspoke::settings::BadInput;
 using cometspoke::settings::field;
 using cometspoke::settings::need;
@@ -23,7 +28,7 @@
 void read_limits(const Json& limits, Config& config) {
     const auto sockets = field<std::int64_t>(limits, "sockets");
     const auto disk_mb = field<double>(limits, "disk_mb");
-    if (sockets < 64) throw BadInput("limits.sockets is under 64");
+    if (sockets < kLeastSockets) throw BadInput("limits.sockets is under 64");
     if (!(disk_mb > 0 && disk_mb < 1e6)) throw BadInput("limits.disk_mb makes no sense");
     const auto memory_mb = value_or(limits, "memory_mb", 64.0);
     if (!(memory_mb > 0 && memory_mb < 1e9)) throw BadInput("limits.memory_mb makes no sense");
@@ -47,6 +52,15 @@
     return value;
 }
 
+/// What is told may be more than this process is let have.
+std::size_t within_own_limit(std::size_t sockets) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return sockets;
+    if (limit.rlim_cur < kLeastSockets)
+        throw BadInput("this process may hold only " + std::to_string(limit.rlim_cur) + " descriptors");
+    return std::min<std::size_t>(sockets, limit.rlim_cur);
+}
+
 }  // namespace
 
 Config read_config(const Json& file) {
@@ -76,6 +90,7 @@
     const Json file = Json::parse(stream);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
     Config config = read_config(file);
+    config.sockets = within_own_limit(config.sockets);
     config.state = environment("NODE_STATE");
     return config;
 }
--- /dev/null
+++ b/src/net/enqueue.hpp
@@ -0,0 +1,13 @@
+/// The platform's ENQUEUE as a message.
+#pragma once
+
+#include "config.hpp"
+#include "journal.hpp"
+#include "resp.hpp"
+
+namespace lockgw {
+
+/// An ENQUEUE's words as a message; `left` is its `d`. Throws BadInput naming what is wrong.
+Message message_of(const resp::Command& command, const Config& config, Wall now, cometspoke::Time& left);
+
+}  // namespace lockgw
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -16,6 +16,8 @@
 // Clients keep their connections for this long: whoever is handed on early loads the others, and this
 // forwarder comes back at the same time. What comes last still has a second to be delivered.
 constexpr auto kHandOver = 2400ms;
+constexpr auto kHandOnOver = 400ms;  // the last part of it: a few at a time
+constexpr auto kDrainCheck = 100ms;
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
 constexpr std::size_t kOtherDescriptors = 32;  // of the process beside clients and targets
@@ -283,10 +285,11 @@
 
 void Forwarder::drain() {
     if (std::exchange(draining_, true)) return;
-    drain_step_.expires_after(kHandOver);
+    drain_step_.expires_after(kHandOver - kHandOnOver);
     drain_step_.async_wait([this](auto) {
-        clients_.drain();
-        stop_if_done();
+        clients_.hand_on(kHandOnOver);
+        drain_step_.expires_after(kHandOnOver + kDrainCheck);
+        drain_step_.async_wait([this](auto) { stop_if_done(); });
     });
     drain_end_.expires_after(kDrainFor);
     drain_end_.async_wait([this](auto) { io_.stop(); });
--- /dev/null
+++ b/src/net/session.cpp
@@ -0,0 +1,154 @@
+#include "session.hpp"
+
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <iostream>
+#include <utility>
+
+#include "clients.hpp"
+
+namespace lockgw {
+
+using admission::Instant;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kMostDiscarded = 256 * 1024;  // of what follows a last answer
+
+/// How long the newest bytes have lain in the kernel, also while their connection was in the listener's
+/// queue.
+Clock::duration waited_in_kernel(int socket) {
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return {};
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+}  // namespace
+
+ClientSession::ClientSession(
+    Tcp::socket socket, Clients& owner, admission::Ticket ticket, admission::Owner source)
+    : socket_(std::move(socket)), owner_(owner), ticket_(ticket), source_(source) {}
+
+void ClientSession::start() {
+    boost::system::error_code ignored;
+    socket_.set_option(Tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    take();
+}
+
+bool ClientSession::unread() {
+    boost::system::error_code failed;
+    return socket_.available(failed) > 0;
+}
+
+bool ClientSession::hung_up() {
+    pollfd entry{socket_.native_handle(), POLLRDHUP, 0};
+    return poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void ClientSession::close(bool for_room) {
+    if (closed_) return;
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    owner_.buffered(std::exchange(buffered_, 0), 0);
+    owner_.closed(*this, for_room);
+}
+
+void ClientSession::turn_away(std::string answer) {
+    last_ = true;
+    parser_ = resp::Parser();
+    count_buffered();
+    owner_.door_.leaves(ticket_, Clock::now());
+    write(std::move(answer));
+}
+
+/// No buffer of its own: many connections are silent.
+void ClientSession::await() {
+    if (std::exchange(awaiting_, true)) return;
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](auto failed) {
+        self->awaiting_ = false;
+        if (self->closed_) return;
+        failed ? self->close() : self->take();
+    });
+}
+
+void ClientSession::take() try {
+    boost::system::error_code failed;
+    const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+    if (failed == asio::error::would_block) return await();
+    if (failed) return close();
+    if (last_) return discard(count);
+    arrived_ = Clock::now() - waited_in_kernel(socket_.native_handle());
+    parser_.feed({owner_.in_.data(), count});
+    next();
+} catch (const std::exception& fault) {
+    std::cerr << "client: " << fault.what() << '\n';
+    close();
+}
+
+void ClientSession::next() try {
+    const auto command = parser_.next();
+    count_buffered();
+    if (command) {
+        owner_.door_.asked(ticket_, Clock::now());
+        return owner_.handle(shared_from_this(), *command);
+    }
+    if (parser_.midway()) {
+        owner_.door_.began(ticket_, Clock::now());
+        owner_.bound_buffers();
+        if (last_ || closed_) return;
+    } else if (owner_.draining_ && !unread()) {
+        return close();
+    }
+    await();
+} catch (const resp::Unreadable& bad) {
+    turn_away(resp::error(std::string("ERR ") + bad.what()));
+}
+
+void ClientSession::count_buffered() {
+    owner_.buffered(std::exchange(buffered_, parser_.held()), parser_.held());
+}
+
+void ClientSession::answer(std::string text, bool useful) {
+    if (closed_) return;
+    useful_ = useful;
+    owner_.door_.answering(ticket_, Clock::now());
+    write(std::move(text));
+}
+
+void ClientSession::write(std::string text) {
+    out_ = std::move(text);
+    asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](auto failed, std::size_t) {
+        if (self->closed_) return;
+        if (failed) return self->close();
+        self->last_ ? self->finish() : self->written();
+    });
+}
+
+void ClientSession::written() {
+    const Instant now = Clock::now();
+    owner_.door_.rests(ticket_, std::exchange(useful_, false), now);
+    arrived_ = now;  // what came along with the last command has waited for it, not for us
+    next();
+    // at the limit a place may be wanted back, this one's too; not that of one that asks again already
+    if (!closed_) owner_.accept();
+}
+
+/// Closing with bytes unread would reset the connection and might take the last answer with it.
+void ClientSession::finish() {
+    boost::system::error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    await();
+}
+void ClientSession::discard(std::size_t count) {
+    discarded_ += count;
+    discarded_ > kMostDiscarded ? close() : await();
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/net/session.hpp
@@ -0,0 +1,62 @@
+/// One client connection: reads a command, has it answered, writes the answer, and only then goes on.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "admission/door.hpp"
+#include "config.hpp"
+#include "resp.hpp"
+
+namespace lockgw {
+
+class Clients;
+
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+public:
+    /// `owner` outlives it.
+    ClientSession(Tcp::socket socket, Clients& owner, admission::Ticket ticket, admission::Owner source);
+
+    /// Reads at once what has come already.
+    void start();
+    /// Something has come that is not read yet: to close now would lose a request.
+    bool unread();
+    /// Its client has closed, or ended its sending: most likely nobody waits for the answer.
+    bool hung_up();
+    /// Reads now, without waiting for the loop to tell.
+    void read_now() { take(); }
+    void close(bool for_room = false);
+    /// A last answer, and a close once it is written.
+    void turn_away(std::string answer);
+    /// The answer to the command that was handed on; `useful`: it was a message in good form.
+    void answer(std::string text, bool useful);
+
+    admission::Ticket ticket() const { return ticket_; }
+    admission::Owner source() const { return source_; }
+    /// When the last byte of the present command came, as far as the kernel tells.
+    admission::Instant arrived() const { return arrived_; }
+
+private:
+    void await();
+    void take();
+    void next();
+    void count_buffered();
+    void write(std::string text);
+    void written();
+    void finish();
+    void discard(std::size_t count);
+
+    Tcp::socket socket_;
+    Clients& owner_;
+    admission::Ticket ticket_;
+    admission::Owner source_;
+    admission::Instant arrived_{};
+    resp::Parser parser_;
+    std::string out_;
+    std::size_t buffered_ = 0, discarded_ = 0;
+    bool awaiting_ = false, last_ = false, closed_ = false, useful_ = false;
+};
+
+}  // namespace lockgw
--- /dev/null
+++ b/tests/crowd_test.cpp
@@ -0,0 +1,127 @@
+// The built program among crowds (rig/crowd): who behaves well is served, whatever others do with
+// connections.
+//
+// Clients here are patient, so that a slow machine fails nothing; who is not let in at all fails all the
+// same.
+#include "rig/crowd.hpp"
+
+#include "membership_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+struct Crowd {
+    const char* name;
+    void (*set)(rig::CrowdPlan&);
+};
+std::ostream& operator<<(std::ostream& out, const Crowd& crowd) { return out << crowd.name; }
+
+class DoorTest : public MembershipTest {
+protected:
+    DoorTest() : MembershipTest(2) {
+        node.config()["limits"]["sockets"] = 384;  // 256 for clients
+        node.config()["limits"]["disk_mb"] = 32;
+        node.config()["settings"]["family_info"]["slots"] = 64;
+        node.config()["settings"]["limits"]["most_held"] = 20'000;
+        node.config()["settings"]["tenants"] = {{{"name", "acme"}}, {{"name", "other"}}};
+    }
+    rig::CrowdPlan usual_plan() const {
+        rig::CrowdPlan plan;
+        plan.address = node.address();
+        plan.span = 2500ms;
+        plan.patience = 4s;
+        plan.good_per_s = 100;
+        plan.good_pool = 100;
+        return plan;
+    }
+};
+
+class CrowdTest : public DoorTest, public ::testing::WithParamInterface<Crowd> {};
+TEST_P(CrowdTest, TheWellBehavedAreServed) {
+    start_with({member("s-1", 0), member("s-2", 1)});
+    rig::CrowdPlan plan = usual_plan();
+    GetParam().set(plan);
+    const rig::Tallies tallies = rig::play(plan);
+    const rig::Tally& good = tallies.at("good");
+    EXPECT_GT(good.asked, 50u);
+    EXPECT_GE(good.served_share(), 0.97) << rig::table_of(tallies) << node.log();
+    EXPECT_LE(node.descriptors(), 384u);
+    Client client = node.client();
+    EXPECT_EQ(client.ask({"PING"}), "+PONG");
+}
+
+INSTANTIATE_TEST_SUITE_P(Door, CrowdTest,
+    ::testing::Values(Crowd{"hoarders", [](rig::CrowdPlan& plan) { plan.hoarders = 300; }},
+        Crowd{"pretenders", [](rig::CrowdPlan& plan) { plan.pretenders = 250; }},
+        Crowd{"one_shot", [](rig::CrowdPlan& plan) { plan.good_kept = 1, plan.good_per_s = 200; }},
+        Crowd{"silent", [](rig::CrowdPlan& plan) { plan.silent = 600; }},
+        Crowd{"storm", [](rig::CrowdPlan& plan) { plan.storm_per_s = 800, plan.resets_per_s = 400; }},
+        Crowd{"halves",
+            [](rig::CrowdPlan& plan) { plan.halves = 200, plan.slow = 100, plan.announcers = 250; }},
+        Crowd{"deaf", [](rig::CrowdPlan& plan) { plan.deaf = 40, plan.pipeliners = 1; }},
+        Crowd{"sources",
+            [](rig::CrowdPlan& plan) { plan.sources = 1000, plan.hoarders = 200, plan.silent = 200; }},
+        Crowd{"all",
+            [](rig::CrowdPlan& plan) {
+                plan.hoarders = 128, plan.silent = 100, plan.halves = 30, plan.slow = 30;
+                plan.storm_per_s = 500, plan.keepers_per_s = 50, plan.good_kept = 0.5;
+            }}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The operator's limit may be lower than the settings say: the journal and discovery must not starve.
+TEST_F(DoorTest, ServesOnWithFewerDescriptorsThanItWasTold) {
+    node.config()["limits"]["sockets"] = 1024;
+    node.limit_descriptors(128);
+    start_with({member("s-1", 0), member("s-2", 1)});
+    rig::CrowdPlan plan = usual_plan();
+    plan.hoarders = 150, plan.silent = 150;
+    const rig::Tallies tallies = rig::play(plan);
+    EXPECT_GE(tallies.at("good").served_share(), 0.97) << rig::table_of(tallies) << node.log();
+    directory.put_all({member("s-3", 1)});
+    EXPECT_TRUE(directory.wait_asked_from(directory.revision(), kDeadline)) << node.log();
+}
+
+// All that is owed an answer gets it, also in the middle of a storm.
+TEST_F(DoorTest, EndsInOrderInTheMiddleOfAStorm) {
+    start_with({member("s-1", 0), member("s-2", 1)});
+    rig::CrowdPlan plan = usual_plan();
+    plan.span = 4500ms;
+    plan.silent = 200, plan.storm_per_s = 500;
+    std::thread stop([this] {
+        std::this_thread::sleep_for(1s);
+        node.terminate();
+    });
+    const rig::Tallies tallies = rig::play(plan);
+    stop.join();
+    EXPECT_EQ(node.wait(), 0) << node.log();
+    const rig::Tally& good = tallies.at("good");
+    // those that came when it was gone found nobody; those that it had taken in heard their answer
+    EXPECT_EQ(good.cut, 0u) << rig::table_of(tallies) << node.log();
+    EXPECT_GT(good.taken, 50u);
+}
+
+// A start with thousands that wait already: they are let in as fast as they go, and whoever asks is served.
+TEST_F(DoorTest, StartsWithThousandsAtTheDoor) {
+    start_with({member("s-1", 0), member("s-2", 1)});
+    node.kill(), node.wait();
+    std::vector<std::thread> waiting;
+    std::atomic<int> served = 0;
+    for (int i = 0; i < 40; ++i)
+        waiting.emplace_back([this, i, &served] {
+            const auto until = std::chrono::steady_clock::now() + kDeadline;
+            for (int done = 0; done < 25 && std::chrono::steady_clock::now() < until;) try {
+                    Client client(node.address());
+                    char id[17];
+                    std::snprintf(id, sizeof id, "%016x", 0x100000 + i * 1000 + done);
+                    if (enqueue(client, id) == "+OK") ++done, ++served;
+                } catch (const boost::system::system_error&) {
+                    std::this_thread::sleep_for(2ms);
+                }
+        });
+    node.start_ready();
+    for (std::thread& one : waiting) one.join();
+    EXPECT_EQ(served, 1000) << node.log();
+}
+
+}  // namespace
+}  // namespace lockgw
--- a/tests/membership_fixture.hpp
+++ b/tests/membership_fixture.hpp
@@ -62,10 +62,12 @@
         node.start_ready();
         ASSERT_TRUE(directory.wait_asked_from(directory.revision(), kDeadline)) << node.log();
     }
-    std::string enqueue(
-        Client& client, const std::string& id, const std::string& kind = "safe", int cell = 7) {
+    std::string enqueue(Client& client, const std::string& id, const std::string& kind = "safe", int cell = 7,
+        int left_ms = 30'000) {
         return client.ask({"ENQUEUE", "0000000000000000", id,
-            "c=" + kind + ",t=acme,d=30000,k=" + id + ",dest=" + std::to_string(cell), "BODY"});
+            "c=" + kind + ",t=acme,d=" + std::to_string(left_ms) + ",k=" + id +
+                ",dest=" + std::to_string(cell),
+            "BODY"});
     }
     /// Sends messages one after another until one goes to `wanted`; false where none does.
     bool reaches(Client& client, std::size_t wanted) {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -149,6 +149,63 @@
     EXPECT_LT(peak_kb, 512 * 1024);
 }
 
+// ---- notices ----
+
+class NoticeTest : public MembershipTest {
+protected:
+    /// One that nobody answers, with little time: it ends in a notice.
+    std::string doomed(Client& client) {
+        const std::string id = fresh_id();
+        EXPECT_EQ(enqueue(client, id, "unsafe", 7, 200), "+OK");
+        return id;
+    }
+    bool told(const std::string& id) {
+        return waits_for([&] { return directory.notices_of(id) > 0; });
+    }
+    void start_silent() {
+        rig::CallScript hang;
+        hang.kind = CallKind::Hang;
+        targets.usual(0, hang);
+        start_with({member("s-1", 0)});
+    }
+};
+
+// A post that hangs must not hold the next one up, and what the peer has confirmed is not told again.
+TEST_F(NoticeTest, GoBesideAPostThatHangsAndOnceTheyWereHeard) {
+    start_silent();
+    Client client = node.client();
+    for (const auto fault : {rig::PostFault::Deaf, rig::PostFault::Mute}) {
+        directory.post_fault(fault, 3);
+        const std::string first = doomed(client);
+        ASSERT_TRUE(told(first)) << node.log();
+        ASSERT_TRUE(waits_for([&] { return directory.posts() % 4 == 0; }));  // three that hang, and one heard
+        const std::size_t times = directory.notices_of(first);
+        const std::string second = doomed(client);
+        ASSERT_TRUE(told(second)) << node.log();
+        EXPECT_EQ(directory.notices_of(first), times);
+        EXPECT_EQ(directory.notices_of(second), 1u);
+        while (directory.posts() % 4 != 0) ASSERT_TRUE(told(doomed(client)));
+    }
+}
+
+TEST_F(NoticeTest, AreOwedOverASigtermUntilTheyAreHeard) {
+    start_silent();
+    Client client = node.client();
+    const std::string heard = doomed(client);
+    ASSERT_TRUE(told(heard));
+    directory.post_fault(rig::PostFault::Deaf, 1000);
+    const std::string owed = doomed(client);
+    const std::size_t before = directory.posts();
+    ASSERT_TRUE(waits_for([&] { return directory.posts() > before; }));
+    node.terminate();
+    EXPECT_EQ(node.wait(), 0) << node.log();
+    EXPECT_EQ(directory.notices_of(owed), 0u);
+    directory.clear_faults();
+    node.start_ready();
+    ASSERT_TRUE(told(owed)) << node.log();
+    EXPECT_EQ(directory.notices_of(heard), 1u);
+}
+
 // ---- the random campaign ----
 
 class DrainCampaign : public MembershipTest {
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -32,55 +32,24 @@
 #include <vector>
 
 #include "net/config.hpp"
+#include "rig/node.hpp"
 
 namespace lockgw {
 
 namespace http = boost::beast::http;
 using namespace std::chrono_literals;
 
-constexpr auto kDeadline = 20s;
+using rig::Client;
+using rig::kDeadline;
+using rig::make_config;
+using rig::TemporaryFolder;
+using rig::text_of;
 
-class TemporaryFolder {
-public:
-    TemporaryFolder() {
-        std::string name = (std::filesystem::temp_directory_path() / "lockgw-XXXXXX").string();
-        if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no temporary folder");
-        path_ = name;
-    }
-    TemporaryFolder(const TemporaryFolder&) = delete;
-    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-    ~TemporaryFolder() {
-        std::error_code ignored;
-        std::filesystem::remove_all(path_, ignored);
-    }
-    const std::filesystem::path& path() const { return path_; }
-
-private:
-    std::filesystem::path path_;
+/// The program of this build.
+struct Node : rig::Node {
+    explicit Node(Json config) : rig::Node(std::move(config), NODE_PATH) {}
 };
 
-inline Json make_config(const std::string& listen, const std::string& discovery) {
-    const auto kind = [](const char* name, const char* effect) {
-        return Json{{"name", name}, {"effect", effect}, {"aim_ms", 4000}, {"hard_limit_ms", 60000},
-            {"window_ms", 4000}, {"worth", 1}};
-    };
-    return Json{{"name", "n0"}, {"listen", listen}, {"discovery", discovery}, {"seed", "8c1f30d27a5be964"},
-        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 256}, {"disk_mb", 3}}},
-        {"settings",
-            {{"classes", {kind("safe", "retryable"), kind("keyed", "dedup"), kind("unsafe", "fragile")}},
-                {"tenants", {{{"name", "acme"}}}}, {"kinds", {"shop"}}, {"localities", {"a"}},
-                {"family_info", {{"slots", 8}}}, {"n_instances", 1},
-                {"limits", {{"most_held", 40}, {"max_attempts", 12}, {"cancel", true},
-                               {"conn_idle_ms", 10000}, {"connect_timeout_ms", 1000}}},
-                {"contract", {{"fall_ms", 2000}, {"warm_within_ms", 11000}, {"fall_multiple", 2.5},
-                                 {"cold_from", 0.16}}},
-                {"report", {{"source", "inline"}, {"columns", {"x0", "x1"}}}}}}};
-}
-
-inline std::string text_of(const Tcp::endpoint& endpoint) {
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 /// One request that came to a stub, until it is answered or its connection ended.
 struct Exchange {
     http::request<http::string_body> request;
@@ -181,132 +150,4 @@
     std::thread thread_;
 };
 
-/// A client connection that speaks RESP2.
-class Client {
-public:
-    explicit Client(const Tcp::endpoint& address) : socket_(io_) { socket_.connect(address); }
-
-    void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
-    /// One line without its end; empty where the connection ended.
-    std::string line() {
-        std::string text;
-        for (char byte = 0; wait() && socket_.read_some(asio::buffer(&byte, 1), failed_) == 1;) {
-            if (byte == '\n') return text.substr(0, text.size() - 1);
-            text += byte;
-        }
-        return text;
-    }
-    bool ended() { return line().empty() && failed_.failed(); }
-    std::string ask(const std::vector<std::string>& words) {
-        std::string bytes = "*" + std::to_string(words.size()) + "\r\n";
-        for (const std::string& word : words)
-            bytes += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
-        send(bytes);
-        return line();
-    }
-
-private:
-    bool wait() {
-        pollfd entry{socket_.native_handle(), POLLIN, 0};
-        return poll(&entry, 1, static_cast<int>(std::chrono::milliseconds(kDeadline).count())) == 1;
-    }
-
-    asio::io_context io_;
-    Tcp::socket socket_;
-    boost::system::error_code failed_;
-};
-
-/// The built program with its folder; an address that stays the same over restarts.
-class Node {
-public:
-    explicit Node(Json config) : config_(std::move(config)) {
-        asio::io_context io;
-        // an address of this process alone, so that the port is still free when the program binds it
-        const auto own = static_cast<std::uint32_t>(getpid());
-        const asio::ip::address_v4 address(0x7f400000u | ((own & 0x3fffu) << 8) | 1u);
-        address_ = Tcp::acceptor(io, {address, 0}).local_endpoint();
-        config_["listen"] = text_of(address_);
-    }
-    ~Node() {
-        if (pid_ > 0) kill(), wait();
-    }
-
-    void start() {
-        const std::string path = config_path().string();
-        write_config(config_.dump());
-        std::filesystem::create_directories(state());
-        pid_ = fork();
-        if (pid_ == 0) {
-            setenv("NODE_CONFIG", path.c_str(), 1);
-            setenv("NODE_STATE", state().c_str(), 1);
-            const int log = ::open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-            dup2(log, 1), dup2(log, 2);
-            execl(NODE_PATH, NODE_PATH, static_cast<char*>(nullptr));
-            _exit(127);
-        }
-    }
-    void start_ready() {
-        start();
-        const auto until = std::chrono::steady_clock::now() + kDeadline;
-        while (std::chrono::steady_clock::now() < until) try {
-                if (Client(address_).ask({"PING"}) == "+PONG") return;
-            } catch (const boost::system::system_error&) {
-                std::this_thread::sleep_for(10ms);
-            }
-        FAIL() << "not ready: " << log();
-    }
-    void kill() { ::kill(pid_, SIGKILL); }
-    void terminate() { ::kill(pid_, SIGTERM); }
-    /// Puts another file in the place of the configuration and tells the program.
-    void reload(const std::string& text) {
-        write_config(text);
-        ::kill(pid_, SIGHUP);
-    }
-    /// How it ended, as waitpid tells it.
-    int wait() {
-        int status = 0;
-        waitpid(std::exchange(pid_, 0), &status, 0);
-        return status;
-    }
-    pid_t pid() const { return pid_; }
-    const Tcp::endpoint& address() const { return address_; }
-    Client client() const { return Client(address_); }
-    bool refuses() const {
-        try {
-            Client{address_};
-            return false;
-        } catch (const boost::system::system_error&) {
-            return true;
-        }
-    }
-    std::filesystem::path state() const { return folder_.path() / "state"; }
-    std::filesystem::path log_path() const { return folder_.path() / "log"; }
-    std::string log() const {
-        std::ifstream stream(log_path());
-        return {std::istreambuf_iterator<char>(stream), {}};
-    }
-    bool logs(const std::string& text) const {
-        const auto until = std::chrono::steady_clock::now() + kDeadline;
-        while (log().find(text) == std::string::npos) {
-            if (std::chrono::steady_clock::now() > until) return false;
-            std::this_thread::sleep_for(10ms);
-        }
-        return true;
-    }
-    Json& config() { return config_; }
-
-private:
-    std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
-    void write_config(const std::string& text) const {
-        const auto fresh = folder_.path() / "config.new";
-        std::ofstream(fresh) << text;
-        std::filesystem::rename(fresh, config_path());
-    }
-
-    TemporaryFolder folder_;
-    Json config_;
-    Tcp::endpoint address_;
-    pid_t pid_ = 0;
-};
-
 }  // namespace lockgw
--- a/tests/rude_test.cpp
+++ b/tests/rude_test.cpp
@@ -4,14 +4,10 @@
 namespace lockgw {
 namespace {
 
+using rig::command;
+
 class RudeTest : public NodeTest {
 protected:
-    std::string command(const std::vector<std::string>& words) {
-        std::string bytes = "*" + std::to_string(words.size()) + "\r\n";
-        for (const std::string& word : words)
-            bytes += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
-        return bytes;
-    }
     void expect_served(Client& client, const std::string& id) {
         ASSERT_EQ(enqueue(client, id), "+OK");
         const Exchange call = target.next();
@@ -126,13 +122,9 @@
 // Memory and descriptors must not grow with the connections that have been.
 TEST_F(RudeTest, KeepsNothingOfConnectionsThatEnded) {
     node.start_ready();
-    const auto descriptors = [this] {
-        const auto all = std::filesystem::directory_iterator("/proc/" + std::to_string(node.pid()) + "/fd");
-        return std::distance(begin(all), end(all));
-    };
     Client usual = node.client();
     EXPECT_EQ(usual.ask({"PING"}), "+PONG");
-    const auto before = descriptors();
+    const auto before = node.descriptors();
     for (int i = 0; i < 300; ++i) {
         Client client = node.client();
         client.send(i % 2 == 0 ? "noise\r\n" : "*1\r\n");
@@ -141,8 +133,8 @@
         }
     }
     const auto until = Clock::now() + kDeadline;
-    while (descriptors() > before && Clock::now() < until) std::this_thread::sleep_for(10ms);
-    EXPECT_LE(descriptors(), before);
+    while (node.descriptors() > before && Clock::now() < until) std::this_thread::sleep_for(10ms);
+    EXPECT_LE(node.descriptors(), before);
 }
 
 }  // namespace
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -1,4 +1,5 @@
 // Targets that answer with noise, too much or without end, and targets that come and go.
+#include "net/targets.hpp"
 #include "node_fixture.hpp"
 
 namespace lockgw {
@@ -134,5 +135,47 @@
     EXPECT_EQ(client.ask({"PING"}), "+PONG");
 }
 
+// ---- the send gate by itself ----
+
+/// Targets with a gate that the test holds: nothing else stands between a chosen call and its first byte.
+class GateTest : public ::testing::Test {
+protected:
+    using Outcome = cometspoke::Outcome;
+    GateTest() : config(read_config(make_config("127.0.0.1:1", "127.0.0.1:1"))) {
+        Tcp::endpoint address = tcp_endpoint(target.address(), "target");
+        targets.set_address(1, address);
+    }
+    void start(MessageId message) { targets.start({message, 1, 0, 7, "", "BODY", std::chrono::seconds(10)}); }
+    Outcome outcome_of(MessageId message) {
+        const auto until = std::chrono::steady_clock::now() + kDeadline;
+        while (!outcomes.contains(message) && std::chrono::steady_clock::now() < until) io.run_one_for(10ms);
+        return outcomes.at(message);
+    }
+
+    HttpStub target;
+    asio::io_context io;
+    Config config;
+    bool open = true;
+    std::map<MessageId, Outcome> outcomes;
+    Targets targets{io, config, 8, [this](const Call&, const Tcp::endpoint&) { return open; },
+        [this](const cometspoke::OutcomeEvent& event) { outcomes[event.message] = event.outcome; }};
+};
+
+TEST_F(GateTest, StopsACallOnANewConnectionAndOnAKeptOne) {
+    open = false;
+    start(1);
+    EXPECT_EQ(outcome_of(1), Outcome::NotSent);
+    open = true;
+    start(2);
+    while (target.none_within(10ms)) io.poll();
+    target.next().answer(200);
+    EXPECT_EQ(outcome_of(2), Outcome::Served);
+    open = false;
+    start(3);
+    EXPECT_EQ(outcome_of(3), Outcome::NotSent);
+    io.run_for(50ms);
+    EXPECT_TRUE(target.none_within(50ms));  // not a byte of the two
+}
+
 }  // namespace
 }  // namespace lockgw
