RESP2: one bound on a length line, whether its end has come or not

Found by tests/fuzz/run: a length with 24 digits and more was read where it came in one piece and refused where it came in several. The bound now holds for both; the input stands in the corpus. 100,000 runs pass.

--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -31,10 +31,10 @@
     if (at_ == buffer_.size()) return std::nullopt;
     if (buffer_[at_] != mark) throw Unreadable(std::string("expected '") + mark + "'");
     const auto end = buffer_.find("\r\n", at_);
-    if (end == std::string::npos) {
-        if (buffer_.size() - at_ > kLongestHeader) throw Unreadable("a length without an end");
-        return std::nullopt;
-    }
+    // the same bound whether its end has come or not, but for a '\r' that waits for its '\n'
+    const std::size_t length = end == std::string::npos ? buffer_.size() - at_ - 1 : end - at_;
+    if (length > kLongestHeader) throw Unreadable("a length without an end");
+    if (end == std::string::npos) return std::nullopt;
     std::size_t value = 0;
     const char* last = buffer_.data() + end;
     const auto parsed = std::from_chars(buffer_.data() + at_ + 1, last, value);
