Decisions in logarithmic time: ordered tags, parked destinations, queues of dues

Destinations stand in order of their share tags, apart by health; who cannot go is parked until something of it changes or falls due. Ends, pauses, rests of keys and dues are queues; who is ready is kept by class; the shift of all share tags is one number. Containers have a package of their own. With more than 2,000 held in all, or 256 ready at one destination, who goes for room and who loses most by waiting are found among a bounded, stated choice; below, actions are the same as before.

A count of steps fails where a walk comes back.

--- /dev/null
+++ b/src/containers/due_queue.hpp
@@ -0,0 +1,58 @@
+/// Keys with a moment each: the earliest first, and any one changed or taken out by its key.
+///
+/// All calls take logarithmic time in the keys held, plus constant expected time. No clock, one thread.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lockgw {
+
+template <class Key, class When>
+class DueQueue {
+public:
+    void set(const Key& key, When when) {
+        const auto [found, fresh] = when_.try_emplace(key, when);
+        if (!fresh) {
+            if (found->second == when) return;
+            order_.erase({found->second, key});
+            found->second = when;
+        }
+        order_.insert({when, key});
+    }
+    void erase(const Key& key) {
+        const auto found = when_.find(key);
+        if (found == when_.end()) return;
+        order_.erase({found->second, key});
+        when_.erase(found);
+    }
+    bool empty() const { return order_.empty(); }
+    std::size_t size() const { return order_.size(); }
+    /// The earliest moment; none where nothing is held.
+    std::optional<When> next() const {
+        return order_.empty() ? std::nullopt : std::optional(order_.begin()->first);
+    }
+    /// Those due at `now` or before, the earliest first (of one moment, the least key first). They stay.
+    std::vector<Key> due(When now) const {
+        std::vector<Key> all;
+        for (auto place = order_.begin(); place != order_.end() && place->first <= now; ++place)
+            all.push_back(place->second);
+        return all;
+    }
+    /// The same, and they go.
+    std::vector<Key> take_due(When now) {
+        std::vector<Key> all = due(now);
+        for (const Key& key : all) erase(key);
+        return all;
+    }
+
+private:
+    std::set<std::pair<When, Key>> order_;
+    std::unordered_map<Key, When> when_;
+};
+
+}  // namespace lockgw
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,9 +10,12 @@
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <unordered_map>
 #include <utility>
 
 #include "cometspoke/sender.hpp"
+#include "containers/due_queue.hpp"
+#include "containers/lines.hpp"
 
 namespace cometspoke {
 namespace {
@@ -64,19 +67,24 @@
 constexpr Time kDropTrip{500'000};        // a drop and the repeat after it need this much of a dedup window
 constexpr Time kRetryGap{50'000};  // pause of a message after an attempt that failed; doubles with each
 constexpr std::uint32_t kPauseDoublings = 4;
-constexpr Time kDedupMargin{100'000};   // a resend leaves this much before its window closes
-constexpr Time kSweep{100'000};         // silence is looked for this often while calls are out
-constexpr double kNewConnection = 0.7;  // choosing: a new connection weighs as so many calls in flight
-constexpr double kOtherZone = 0.4;      // and another zone as so many
-constexpr Time kRecent{60'000'000};     // after a failed connect: allowances of connections seldom change
-constexpr int kReuse = 3;               // an idle connection is kept if reused within this part of its time
-constexpr double kRoomKept = 0.1;       // share of most_held kept free for worth
-constexpr double kLeastDrain = 0.5;     // messages a second that any destination is expected to take
-constexpr Time kLongStall{60'000'000};  // a stall longer than any deadline is as good as this
-constexpr Time kQuotaBurst{1'000'000};  // a tenant's quota may come this far at once
-constexpr Time kTidyGap{1'000'000};     // what has gone is looked for at most so often
-constexpr Time kStateAge{60'000'000};   // what was learned of a destination tells nothing after this
-constexpr Time kWatchGap{500'000};      // first pause after a failed list call; doubles
+constexpr Time kDedupMargin{100'000};     // a resend leaves this much before its window closes
+constexpr Time kSweep{100'000};           // silence is looked for this often while calls are out
+constexpr double kNewConnection = 0.7;    // choosing: a new connection weighs as so many calls in flight
+constexpr double kOtherZone = 0.4;        // and another zone as so many
+constexpr Time kRecent{60'000'000};       // after a failed connect: allowances of connections seldom change
+constexpr int kReuse = 3;                 // an idle connection is kept if reused within this part of its time
+constexpr double kRoomKept = 0.1;         // share of most_held kept free for worth
+constexpr double kLeastDrain = 0.5;       // messages a second that any destination is expected to take
+constexpr Time kLongStall{60'000'000};    // a stall longer than any deadline is as good as this
+constexpr Time kQuotaBurst{1'000'000};    // a tenant's quota may come this far at once
+constexpr Time kTidyGap{1'000'000};       // what has gone is looked for at most so often
+constexpr std::size_t kExactHeld = 2000;  // with more held in all, who goes for room is found among
+constexpr std::size_t kLookAt = 8;        // so many destinations with most held, and as many in turn,
+constexpr std::size_t kLookEnds = 16;     // and so many messages at each end of theirs
+constexpr std::size_t kExactReady = 256;  // with more ready at a destination, who loses most by waiting is
+constexpr std::size_t kLookAround = 64;   // found among so many at the front, and round the aim
+constexpr Time kStateAge{60'000'000};     // what was learned of a destination tells nothing after this
+constexpr Time kWatchGap{500'000};        // first pause after a failed list call; doubles
 constexpr int kWatchDoublings = 4;
 
 double seconds(Time time) { return static_cast<double>(time.count()) / 1e6; }
@@ -85,6 +93,8 @@
 }
 Time gap_of(double rate) { return rate > 0 ? from_seconds(1.0 / rate) : Time(0); }
 
+using Order = std::set<std::pair<Time, DestinationId>>;  // by share tag
+
 enum class Health { Well, Sick, Returning };
 
 // What is shared by all endpoints of a destination, or belongs to one where its routes are apart.
@@ -96,8 +106,11 @@
     int refusals = 0;           // falls since the last success
 };
 
+struct Destination;
+
 struct Endpoint {
     DestinationId destination = 0;
+    Destination* home = nullptr;  // the same; it stays for as long as an endpoint names it
     std::size_t zone = 0;
     std::size_t kind = 0;
     Condition condition = Condition::Gone;
@@ -107,6 +120,7 @@
     Time used{kLongAgo};     // the last call's sending
     Time heard{kLongAgo};    // the last outcome that counted for health
     bool often = false;      // it came soon after the one before
+    bool named = false;      // counted by its destination
     Health health = Health::Well;
     bool failure_seen = false;  // since it fell sick
     double failing = 0.0;       // blended share of calls that fail
@@ -121,10 +135,15 @@
 struct Destination {
     Route shared;
     std::set<EndpointId> endpoints;
-    std::map<std::uint64_t, MessageId> held;  // by arrival; those with an attempt out stay in place
-    double weight = 1.0;                      // w: the listed rate, if there is one
-    Time reservation_tag{kLongAgo};           // R
-    Time share_tag{kLongAgo};                 // P
+    std::map<std::uint64_t, MessageId> held;            // by arrival; those with an attempt out stay in place
+    std::map<std::size_t, std::size_t> held_of;         // by class
+    lockgw::Lines<std::size_t, MessageId, Time> ready;  // by class: those that may go for their part
+    std::size_t named = 0;                              // endpoints that were last listed here
+    Order* order = nullptr;          // where it waits for its turn; none while it is parked
+    bool parked = false;             // it may not go until something of it changes or falls due
+    double weight = 1.0;             // w: the listed rate, if there is one
+    Time reservation_tag{kLongAgo};  // R
+    Time share_tag{kLongAgo};        // P; while it holds messages, less the shift of all
     int in_flight = 0;
     double usual = 0.0;  // seconds to answer, blended slowly
     double asked = 0;    // own messages a second, as of the last one
@@ -144,10 +163,12 @@
     int out = 0;
     std::optional<Time> doubt_since;  // sending of the first attempt that may have run
     std::optional<EndpointId> doubt_at;
+    bool ready = false;  // among those of its destination
 };
 
 struct Call {
     EndpointId endpoint = 0;
+    Endpoint* at = nullptr;  // the same; it stays while calls are out
     Time sent{0};
     std::size_t out = 0;
     bool judged = false;
@@ -220,10 +241,11 @@
         if (event.kind != ListKind::Changes)
             for (auto& [id, endpoint] : endpoints_) {
                 endpoint.condition = Condition::Gone;
-                destinations_.at(endpoint.destination).endpoints.erase(id);
+                endpoint.home->endpoints.erase(id);
                 gone_.insert(id);
+                touch(endpoint.destination, now);
             }
-        for (const ListEntry& entry : event.entries) list(entry);
+        for (const ListEntry& entry : event.entries) list(entry, now);
     }
 
     void take(const MessageEvent& event, Time now) {
@@ -241,18 +263,22 @@
         message.attempts = event.attempts;  // a restart changes nothing in what may have run
         if (event.doubt) {
             message.doubt_since = now - event.doubt->age;
-            message.doubt_at = event.doubt->endpoint;
+            set_doubt(message, event.doubt->endpoint);
         }
         if (kind.sequential && event.key) {
             message.key = event.key;
             keys_[*event.key].turn.push_back(event.message);
         }
         Destination& destination = destinations_[event.destination];
+        if (destination.named == 0) unnamed_.insert(event.destination);
         const double age = seconds(now - std::exchange(destination.asked_at, now));
         destination.asked = (destination.asked * kMemory_s * std::exp(-age / kMemory_s) + 1.0) / kMemory_s;
-        destination.held.emplace(message.arrival, event.message);
+        hold(event.destination, destination, event.message, message);
         messages_.emplace(event.message, message);
-        if (active_.emplace(event.destination, &destination).second) activate(destination, now);
+        if (active_.emplace(event.destination, &destination).second)
+            activate(event.destination, destination, now);
+        changed(event.message, now);
+        if (message.key) line_changed(*message.key, now);
     }
 
     void take(const OutcomeEvent& event, Time now) {
@@ -262,7 +288,7 @@
         attempts_.erase(found);
         if (key) settle_key(*key, event, now);
         Call& call = calls_.at(call_id);
-        Endpoint& endpoint = endpoints_.at(call.endpoint);
+        Endpoint& endpoint = *call.at;
         Route& route = route_of(endpoint);  // each message of a call may be told its own wait
         if (event.outcome == Outcome::TurnedAway)
             route.wait_until = std::max(route.wait_until, now + event.wait);
@@ -273,13 +299,14 @@
         const Call ended = call;
         if (--call.out == 0) {
             --endpoint.in_flight;
-            --destinations_[endpoint.destination].in_flight;
+            --endpoint.home->in_flight;
             const bool lives = event.outcome == Outcome::Served || event.outcome == Outcome::ServerError ||
                                event.outcome == Outcome::TurnedAway;
             if (lives) endpoint.idle.push_back(now + settings_.conn_idle), freed_.insert(ended.endpoint);
             calls_.erase(call_id);
         }
         settle(event, ended, now);
+        touch(endpoint.destination, now);
     }
 
     void take(const AbandonedEvent& event, Time now) { forget(event.message, now); }
@@ -291,8 +318,10 @@
     std::vector<Action> decide(Time now) {
         actions_.clear();
         if (watch_at_ <= now) actions_.emplace_back(Watch{true}), watch_at_ = kNever;
+        free_due(now);
         end_overdue(now);
         watch_silence(now);
+        sick_calls_ = sick_calls();
         drop_stuck(now);
         keep_room(now);
         while (calls_.size() < settings_.slots) {
@@ -307,16 +336,20 @@
     }
 
 private:
-    void list(const ListEntry& entry) {
+    void list(const ListEntry& entry, Time now) {
         Endpoint& endpoint = endpoints_[entry.endpoint];
+        name(endpoint, entry.destination);
         if (entry.condition == Condition::Gone)
             gone_.insert(entry.endpoint);
         else
             gone_.erase(entry.endpoint);
         if (endpoint.destination != entry.destination)  // moved, or new
-            if (const auto before = destinations_.find(endpoint.destination); before != destinations_.end())
+            if (const auto before = destinations_.find(endpoint.destination); before != destinations_.end()) {
                 before->second.endpoints.erase(entry.endpoint);
+                touch(before->first, now);
+            }
         endpoint.destination = entry.destination;
+        endpoint.home = &destinations_[entry.destination];
         endpoint.zone = entry.zone;
         endpoint.kind = entry.kind;
         endpoint.condition = entry.condition;
@@ -325,10 +358,19 @@
             destination.endpoints.erase(entry.endpoint);
         else
             destination.endpoints.insert(entry.endpoint);
-        if (!settings_.listed_rates) return;
-        if (entry.rate > 0) destination.weight = entry.rate;
-        Route& route = apart(endpoint) ? endpoint.own : destination.shared;
-        if (route.known == 0.0) route.known = entry.rate;
+        if (settings_.listed_rates) {
+            if (entry.rate > 0) destination.weight = entry.rate;
+            Route& route = apart(endpoint) ? endpoint.own : destination.shared;
+            if (route.known == 0.0) route.known = entry.rate;
+        }
+        touch(entry.destination, now);
+    }
+    // How many endpoints name a destination: with none it may be forgotten.
+    void name(Endpoint& endpoint, std::optional<DestinationId> to) {
+        if (endpoint.named && to == endpoint.destination) return;
+        if (endpoint.named && --endpoint.home->named == 0) unnamed_.insert(endpoint.destination);
+        endpoint.named = to.has_value();
+        if (to && destinations_[*to].named++ == 0) unnamed_.erase(*to);
     }
 
     // Targets come and go for as long as a process lives: what nothing names any more is forgotten. An
@@ -336,97 +378,166 @@
     // still worth knowing of it.
     void tidy(Time now) {
         tidy_at_ = now + kTidyGap;
-        std::set<EndpointId> doubted;
-        for (const auto& [id, message] : messages_)
-            if (message.doubt_at) doubted.insert(*message.doubt_at);
         std::erase_if(gone_, [&](EndpointId id) {
-            if (endpoints_.at(id).in_flight > 0 || doubted.contains(id)) return false;
+            if (endpoints_.at(id).in_flight > 0 || doubts_.contains(id)) return false;
+            name(endpoints_.at(id), std::nullopt);
             endpoints_.erase(id);
             actions_.emplace_back(Forget{id});
             return true;
         });
-        std::set<DestinationId> named;
-        for (const auto& [id, endpoint] : endpoints_) named.insert(endpoint.destination);
-        std::erase_if(destinations_, [&](const auto& entry) {
-            const auto& [id, destination] = entry;
+        std::erase_if(unnamed_, [&](DestinationId id) {
+            const Destination& destination = destinations_.at(id);
             const Time last = std::max({destination.asked_at, destination.last_served,
                 destination.shared.wait_until, destination.shared.limit_tag});
-            return !named.contains(id) && destination.held.empty() && destination.in_flight == 0 &&
-                   last + kStateAge <= now;
+            if (!destination.held.empty() || destination.in_flight != 0 || last + kStateAge > now)
+                return false;
+            destinations_.erase(id);
+            return true;
         });
     }
 
+    // ---- whose turn it is: destinations that hold messages, by share tag ----
+
+    // Something of a destination has changed: it stands where its health and its calls put it, and its dues
+    // are looked up anew.
+    void touch(DestinationId id, Time now) {
+        const auto found = destinations_.find(id);
+        if (found == destinations_.end()) return;
+        Destination& destination = found->second;
+        leave_order(id, destination);
+        destination.parked = false;
+        if (!active_.contains(id)) return dues_.erase(id);
+        enter_order(id, destination);
+        const Time due = next_due(destination, now);
+        due == kNever ? dues_.erase(id) : dues_.set(id, due);
+    }
+    void enter_order(DestinationId id, Destination& destination) {
+        destination.order = !ailing(destination)         ? &well_
+                            : destination.in_flight == 0 ? &sick_idle_
+                                                         : &sick_busy_;
+        destination.order->insert({destination.share_tag, id});
+    }
+    void leave_order(DestinationId id, Destination& destination) {
+        if (destination.order != nullptr) destination.order->erase({destination.share_tag, id});
+        destination.order = nullptr;
+    }
+    void set_share_tag(DestinationId id, Destination& destination, Time tag) {
+        leave_order(id, destination);
+        by_share_.erase({destination.share_tag, id});
+        destination.share_tag = tag;
+        by_share_.insert({tag, id});
+        if (!destination.parked) enter_order(id, destination);
+    }
+    // What was waited for has come: pauses, rests of keys, tags, waits and budgets that fall due by now.
+    void free_due(Time now) {
+        for (const MessageId id : pauses_.take_due(now)) changed(id, now);
+        for (const std::uint64_t key : rests_.take_due(now)) line_changed(key, now);
+        for (const std::uint64_t key : stale_lines_.take_due(now))
+            if (keys_.contains(key)) drop_line(key, now);
+        for (const DestinationId id : dues_.take_due(now)) touch(id, now);
+    }
+
     // The tags of the head: R = max(R+1/r, now), L = max(L+1/l, now), P = max(P+1/w, now-sigma/w). They
     // stepped when the last head left; here the arrival time comes in, and P shifts so that all start level.
-    void activate(Destination& newcomer, Time now) {
+    void activate(DestinationId id, Destination& newcomer, Time now) {
         const double w = newcomer.weight;
         newcomer.reservation_tag = std::max(newcomer.reservation_tag, now);
         newcomer.share_tag = std::max(newcomer.share_tag, now - from_seconds(kSigma / w));
         newcomer.shared.limit_tag = std::max(newcomer.shared.limit_tag, now);
-        Time smallest = kNever;
-        for (const auto& [id, other] : active_)
-            if (other != &newcomer) smallest = std::min(smallest, other->share_tag);
-        if (smallest == kNever) return;
-        const Time shift = newcomer.share_tag - smallest;
-        for (const auto& [id, other] : active_)
-            if (other != &newcomer) other->share_tag += shift;
+        // all others shift at once: their tags are kept less this sum
+        if (!by_share_.empty())
+            share_shift_ += newcomer.share_tag - (by_share_.begin()->first + share_shift_);
+        newcomer.share_tag -= share_shift_;
+        by_share_.insert({newcomer.share_tag, id});
+    }
+    void deactivate(DestinationId id, Destination& destination) {
+        leave_order(id, destination);
+        by_share_.erase({destination.share_tag, id});
+        destination.share_tag += share_shift_;
+        active_.erase(id);
+        dues_.erase(id);
     }
 
     // First the smallest R tag due; else the smallest P tag among destinations whose L tag is due.
     std::optional<Pick> choose(Time now) {
         reserved_ = settings_.floor_per_s > 0;
         if (reserved_)
-            if (const auto pick = smallest(&Destination::reservation_tag, now, now, false)) return pick;
+            if (const auto pick = by_reservation(now)) return pick;
         reserved_ = false;
-        return smallest(&Destination::share_tag, kNever, now, true);
+        return by_share(now);
     }
-    std::optional<Pick> smallest(Time Destination::*tag, Time latest, Time now, bool limited) {
+    std::optional<Pick> by_reservation(Time now) {
         std::optional<Pick> best;
         Time least = kNever;
         for (const auto& [id, destination] : active_) {
-            if (destination->*tag > latest || destination->*tag >= least) continue;
-            if (!has_room(*destination)) continue;
-            if (const auto pick = head(id, *destination, now, limited))
-                best = pick, least = destination->*tag;
+            if (destination->reservation_tag > now || destination->reservation_tag >= least) continue;
+            if (!under_cap(*destination) || (ailing(*destination) && !sick_may_go(*destination))) continue;
+            if (const auto pick = head(id, *destination, now, false))
+                best = pick, least = destination->reservation_tag;
         }
         return best;
     }
+    // Who cannot go now is parked until something of it changes: no one is looked at twice in vain.
+    std::optional<Pick> by_share(Time now) {
+        while (true) {
+            Order* first = nullptr;
+            for (Order* order : {&well_, &sick_idle_, &sick_busy_}) {
+                if (order->empty() || (order != &well_ && !sick_order_may_go(order == &sick_idle_))) continue;
+                if (first == nullptr || *order->begin() < *first->begin()) first = order;
+            }
+            if (first == nullptr) return std::nullopt;
+            const DestinationId id = first->begin()->second;
+            Destination& destination = destinations_.at(id);
+            if (under_cap(destination))
+                if (const auto pick = head(id, destination, now, true)) return pick;
+            leave_order(id, destination);
+            destination.parked = true;
+        }
+    }
 
     // The slot cap. Sick destinations together leave half of the slots to the healthy.
-    bool has_room(const Destination& destination) const {
+    bool under_cap(const Destination& destination) const {
+        const double slots = static_cast<double>(settings_.slots);
+        return destination.in_flight == 0 || destination.in_flight + 1 < kCapShare * slots;
+    }
+    bool sick_may_go(const Destination& destination) const {
+        return sick_order_may_go(destination.in_flight == 0);
+    }
+    // One trial each while slots are left: after a stall of all, stuck calls must not keep them unheard.
+    bool sick_order_may_go(bool idle) const {
         const double slots = static_cast<double>(settings_.slots);
-        if (destination.in_flight > 0 && destination.in_flight + 1 >= kCapShare * slots) return false;
-        if (!ailing(destination)) return true;
-        // one trial each while slots are left: after a stall of all, stuck calls must not keep them unheard
-        if (destination.in_flight == 0 && static_cast<double>(calls_.size()) < kScarce * slots) return true;
-        return sick_calls() + 1 <= std::max(1.0, kSickShare * slots);
+        if (idle && static_cast<double>(calls_.size()) < kScarce * slots) return true;
+        return sick_calls_ + 1 <= std::max(1.0, kSickShare * slots);
     }
     int sick_calls() const {
-        return static_cast<int>(std::count_if(calls_.begin(), calls_.end(), [this](const auto& entry) {
-            return ailing(destinations_.at(endpoints_.at(entry.second.endpoint).destination));
-        }));
+        return static_cast<int>(std::count_if(calls_.begin(), calls_.end(),
+            [this](const auto& entry) { return ailing(*entry.second.at->home); }));
     }
 
     void serve(const Pick& pick, Time now) {
         Destination& destination = destinations_[pick.destination];
         Endpoint& endpoint = endpoints_.at(pick.endpoint);
         const std::uint64_t call_id = ++call_count_;
-        calls_.emplace(call_id, Call{pick.endpoint, now});
+        calls_.emplace(call_id, Call{pick.endpoint, &endpoint, now});
         ++endpoint.in_flight;
         ++destination.in_flight;
         take_connection(endpoint, now);
         endpoint.often = now - std::exchange(endpoint.used, now) < settings_.conn_idle / kReuse;
+        if (ailing(*endpoint.home)) ++sick_calls_;
         send(pick.message, pick.endpoint, call_id, now);
         fill_call(destination, pick.endpoint, call_id, now);
-        step_tags(destination, endpoint, now);
+        step_tags(pick.destination, destination, endpoint, now);
+        touch(pick.destination, now);
     }
 
-    void step_tags(Destination& destination, Endpoint& endpoint, Time now) {
+    void step_tags(DestinationId id, Destination& destination, Endpoint& endpoint, Time now) {
         Route& route = route_of(endpoint);
         route.limit_tag = std::max(route.limit_tag + gap_of(limit(route, destination)), now);
         if (endpoint.health != Health::Well) spend_budget(endpoint, now);
         const double w = destination.weight;
-        destination.share_tag = std::max(destination.share_tag + gap_of(w), now - from_seconds(kSigma / w));
+        const Time tag = destination.share_tag + share_shift_;
+        set_share_tag(
+            id, destination, std::max(tag + gap_of(w), now - from_seconds(kSigma / w)) - share_shift_);
         if (settings_.floor_per_s <= 0) return;
         const Time step = gap_of(settings_.floor_per_s);
         destination.reservation_tag = std::max(destination.reservation_tag + step, now);
@@ -439,7 +550,8 @@
         ++message.attempts;
         ++message.out;
         ++calls_.at(call_id).out;
-        if (message.key) ++keys_[*message.key].out;
+        if (message.key) ++keys_[*message.key].out, line_changed(*message.key, now);
+        changed(id, now);
         actions_.emplace_back(Send{id, to, time_out(message, now)});
     }
 
@@ -447,38 +559,51 @@
     void fill_call(Destination& destination, EndpointId to, std::uint64_t call_id, Time now) {
         const std::size_t most = settings_.kinds[endpoints_.at(to).kind].per_call;
         if (most < 2 || endpoints_.at(to).health == Health::Sick) return;
-        for (const auto& [arrival, id] : destination.held) {
-            if (calls_.at(call_id).out >= most) return;
+        std::size_t room = most - std::min(most, calls_.at(call_id).out);
+        std::vector<MessageId> along;
+        destination.ready.each([&](MessageId id) {
             const Message& message = messages_.at(id);
-            if (ready(id, message, now) && may_go(message, to)) send(id, to, call_id, now);
-        }
+            if (along.size() < room && ready(id, message, now) && may_go(message, to)) along.push_back(id);
+            return along.size() < room;
+        });
+        for (const MessageId id : along)
+            if (ready(id, messages_.at(id), now)) send(id, to, call_id, now);
     }
 
     // The first message in arrival order that may be sent, with an endpoint for it. While the backlog is
     // longer than the aim of a held message, the one goes that loses most worth by waiting the backlog out.
     std::optional<Pick> head(DestinationId id, const Destination& destination, Time now, bool limited) {
+        const std::vector<EndpointId> open_now = open_endpoints(destination, now, limited);
+        if (open_now.empty()) return std::nullopt;
         const Time backlog = backlog_of(destination);
         std::optional<Pick> best;
         double most = 0.0;
-        for (const auto& [arrival, message_id] : destination.held) {
+        std::set<std::size_t> stuck;  // classes of which none may go
+        const auto look = [&](MessageId message_id) {
             const Message& message = messages_.at(message_id);
-            if (!ready(message_id, message, now)) continue;
+            if (stuck.contains(message.message_class) || !ready(message_id, message, now)) return true;
             const double loss =
                 backlog == Time(0) ? 0.0 : worth_of(message, now) - worth_of(message, now + backlog);
-            if (best && loss <= most) continue;
-            const auto endpoint = endpoint_for(destination, message, now, limited);
-            if (!endpoint) continue;
-            best = Pick{id, message_id, *endpoint}, most = loss;
-            if (backlog == Time(0)) break;
-        }
+            if (best && loss <= most) return true;
+            if (const auto endpoint = endpoint_for(open_now, message, now))
+                best = Pick{id, message_id, *endpoint}, most = loss;
+            else if (settings_.classes[message.message_class].effect == Effect::Fragile)
+                stuck.insert(message.message_class);
+            return !best || backlog != Time(0);
+        };
+        if (backlog == Time(0) || destination.ready.size() <= kExactReady)
+            destination.ready.each(look);
+        else  // many wait: those at the front, and of each class those round its aim, where most is lost
+            destination.ready.some(
+                kLookAround, [&](std::size_t kind) { return now - settings_.classes[kind].aim; }, look);
         return best;
     }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
     Time backlog_of(const Destination& destination) const {
         if (destination.served_rate <= 0) return Time(0);  // nothing is known yet: the ordinary path
         Time shortest = kNever;
-        for (const auto& [arrival, id] : destination.held)
-            shortest = std::min(shortest, settings_.classes[messages_.at(id).message_class].aim);
+        for (const auto& [kind, count] : destination.held_of)
+            if (count > 0) shortest = std::min(shortest, settings_.classes[kind].aim);
         const double held = static_cast<double>(destination.held.size()) - destination.in_flight;
         const Time backlog = from_seconds(std::max(0.0, held) / drain_rate(destination));
         return backlog > shortest ? backlog : Time(0);
@@ -505,15 +630,19 @@
         return *message.doubt_since + kind.window - kDedupMargin;
     }
 
+    std::vector<EndpointId> open_endpoints(const Destination& destination, Time now, bool limited) {
+        std::vector<EndpointId> all;
+        for (const EndpointId id : destination.endpoints)
+            if (open(id, now) && !(limited && route_of(endpoints_.at(id)).limit_tag > now)) all.push_back(id);
+        return all;
+    }
     std::optional<EndpointId> endpoint_for(
-        const Destination& destination, const Message& message, Time now, bool limited) {
+        const std::vector<EndpointId>& open_now, const Message& message, Time now) const {
         std::optional<EndpointId> best;
         double least = 0.0;
-        for (const EndpointId id : destination.endpoints) {
-            Endpoint& endpoint = endpoints_.at(id);
-            if (limited && route_of(endpoint).limit_tag > now) continue;
-            if (!open(id, now) || !may_go(message, id)) continue;
-            const double cost = cost_of(endpoint, now);
+        for (const EndpointId id : open_now) {
+            if (!may_go(message, id)) continue;
+            const double cost = cost_of(endpoints_.at(id), now);
             if (!best || cost < least) best = id, least = cost;
         }
         return best;
@@ -577,13 +706,13 @@
         if (!settings_.cancel) return;
         const auto slots = static_cast<double>(settings_.slots), out = static_cast<double>(calls_.size());
         const bool jammed = out > kScarce * slots;
-        const bool scarce = jammed || sick_calls() + 1 > kSickShare * slots;
+        const bool scarce = jammed || sick_calls_ + 1 > kSickShare * slots;
         for (auto& [name, attempt] : attempts_) {
             const Call& call = calls_.at(attempt.call);
             const auto found = messages_.find(name.first);
             if (attempt.dropped || found == messages_.end()) continue;
-            const Endpoint& endpoint = endpoints_.at(call.endpoint);
-            const Destination& destination = destinations_.at(endpoint.destination);
+            const Endpoint& endpoint = *call.at;
+            const Destination& destination = *endpoint.home;
             const bool passed = jammed && call.overtaken;
             const Time longest = passed ? short_patience(destination) : patience(destination);
             if (now - call.sent < longest || !(jammed || may_repeat(found->second, call, now))) continue;
@@ -623,9 +752,7 @@
     }
 
     bool apart(const Endpoint& endpoint) const { return settings_.kinds[endpoint.kind].routes_apart; }
-    Route& route_of(Endpoint& endpoint) {
-        return apart(endpoint) ? endpoint.own : destinations_.at(endpoint.destination).shared;
-    }
+    Route& route_of(Endpoint& endpoint) { return apart(endpoint) ? endpoint.own : endpoint.home->shared; }
 
     // l: an even part of the limit times what was learned. Without a known limit it is unbounded (0) until
     // the first refusal, and what the destination is seen to take stands for it.
@@ -679,7 +806,7 @@
         endpoint.failing += news(endpoint, now) * (1.0 - endpoint.failing);
         endpoint.failure_seen = true;
         if (route.wait_until > now + kLongWait)  // a told opening holds for all endpoints that share the wait
-            for (const EndpointId other : destinations_.at(endpoint.destination).endpoints)
+            for (const EndpointId other : endpoint.home->endpoints)
                 if (&route_of(endpoints_.at(other)) == &route) fall_sick(endpoints_.at(other), now);
         if (endpoint.health == Health::Returning || endpoint.failing > kFailTrip) fall_sick(endpoint, now);
     }
@@ -702,15 +829,15 @@
     void lower_limit(Route& route, const Endpoint& endpoint, Time now) {
         const double before = route.gain > 0 ? route.gain : senders();
         route.gain = std::max(kLeastGain, before * std::pow(senders(), kFall * ++route.refusals));
-        if (destinations_.at(endpoint.destination).in_flight > 1) return;
+        if (endpoint.home->in_flight > 1) return;
         const double spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-        const double l = limit(route, destinations_.at(endpoint.destination));
+        const double l = limit(route, *endpoint.home);
         route.limit_tag = std::max(route.limit_tag, now + from_seconds(spread / l));
     }
 
     void succeed(EndpointId id, double left, Time rtt, Time now) {
         Endpoint& endpoint = endpoints_.at(id);
-        Destination& destination = destinations_.at(endpoint.destination);
+        Destination& destination = *endpoint.home;
         Route& route = route_of(endpoint);
         route.gain = std::min(senders(), route.gain * std::pow(senders(), kRise + left * kRiseRoom));
         route.refusals = 0;
@@ -743,6 +870,7 @@
             endpoint.returned = endpoint.cold_tag = opening;
         }
         spend_budget(endpoint, now);
+        touch(endpoint.destination, now);
     }
 
     // Silence alone, ended by a success before any failure was seen, was no outage. After one, slow start.
@@ -760,7 +888,7 @@
     // cold_from after the return, taken as no earlier than the first success or a told opening; before that a
     // trial may meet it at its coldest. Spread, lest senders that saw the same failure come back together.
     void spend_budget(Endpoint& endpoint, Time now) {
-        const Destination& destination = destinations_.at(endpoint.destination);
+        const Destination& destination = *endpoint.home;
         double present = capacity(route_of(endpoint), destination);
         if (!apart(endpoint))
             present /= static_cast<double>(std::max<std::size_t>(1, destination.endpoints.size()));
@@ -794,17 +922,18 @@
 
     // Waiting summed over the calls out since the last success, in usual times.
     void watch_silence(Time now) {
-        std::map<EndpointId, double> waiting;
+        std::vector<std::pair<EndpointId, double>> waiting;  // few: no more than calls
         for (const auto& [id, call] : calls_) {
-            const Endpoint& endpoint = endpoints_.at(call.endpoint);
-            if (call.overtaken) continue;  // it hangs alone
-            waiting[call.endpoint] += seconds(now - std::max(call.sent, endpoint.last_good)) /
-                                      usual(destinations_.at(endpoint.destination));
-        }
-        for (const auto& [id, sum] : waiting) {
-            Endpoint& endpoint = endpoints_.at(id);
-            if (sum > kSilentTimes && endpoint.health == Health::Well) fall_sick(endpoint, now);
+            if (call.overtaken || call.at->health != Health::Well)
+                continue;  // it hangs alone, or it is known
+            auto sum = std::find_if(waiting.begin(), waiting.end(),
+                [&call = call](const auto& one) { return one.first == call.endpoint; });
+            if (sum == waiting.end()) sum = waiting.insert(sum, {call.endpoint, 0.0});
+            sum->second += seconds(now - std::max(call.sent, call.at->last_good)) / usual(*call.at->home);
         }
+        std::sort(waiting.begin(), waiting.end());
+        for (const auto& [id, sum] : waiting)
+            if (sum > kSilentTimes) fall_sick(endpoints_.at(id), now);
     }
 
     // Failing or slow: an endpoint is not well (silent, failing, or warming up).
@@ -822,11 +951,59 @@
         --message.out;
         if (event.terminal || event.outcome == Outcome::Served) return forget(event.message, now);
         message.not_before = now + pause_after(message, now);
-        if (never_ran) return;
-        if (!message.doubt_since || call.sent < *message.doubt_since) {
+        if (!never_ran && (!message.doubt_since || call.sent < *message.doubt_since)) {
             message.doubt_since = call.sent;
-            message.doubt_at = call.endpoint;
+            set_doubt(message, call.endpoint);
         }
+        changed(event.message, now);
+    }
+    void set_doubt(Message& message, std::optional<EndpointId> at) {
+        if (message.doubt_at && --doubts_.at(*message.doubt_at) == 0) doubts_.erase(*message.doubt_at);
+        message.doubt_at = at;
+        if (at) ++doubts_[*at];
+    }
+
+    // A message has changed: when it ends, when its pause does, and whether it may go stand anew.
+    void changed(MessageId id, Time now) {
+        const auto found = messages_.find(id);
+        if (found == messages_.end()) return;
+        Message& message = found->second;
+        ends_.set(id, ends_at(message));
+        const bool pausing = message.out == 0 && message.not_before > now;
+        pausing ? pauses_.set(id, message.not_before) : pauses_.erase(id);
+        make_ready(
+            id, message, message.out == 0 && !pausing && (!message.key || turn_at(id, *message.key) <= now));
+        touch(message.destination, now);
+    }
+    void make_ready(MessageId id, Message& message, bool is_ready) {
+        if (std::exchange(message.ready, is_ready) == is_ready) return;
+        auto& ready = destinations_.at(message.destination).ready;
+        if (is_ready)
+            ready.put(message.message_class, message.arrival, message.born, id);
+        else
+            ready.take(message.message_class, message.arrival, message.born);
+    }
+    // Whose turn it is in a key's line, and from when on.
+    void line_changed(std::uint64_t key, Time now) {
+        const auto found = keys_.find(key);
+        if (found == keys_.end()) return rests_.erase(key), stale_lines_.erase(key);
+        const KeyLine& line = found->second;
+        const bool rests = line.rest_until > now;
+        if (line.turn.empty() && line.out == 0 && rests)
+            stale_lines_.set(key, line.rest_until);
+        else
+            stale_lines_.erase(key);
+        if (!line.turn.empty() && line.out == 0 && rests && line.rest_for != line.turn.front())
+            rests_.set(key, line.rest_until);
+        else
+            rests_.erase(key);
+        if (!line.turn.empty()) changed(line.turn.front(), now);
+    }
+    void hold(DestinationId id, Destination& destination, MessageId message_id, const Message& message) {
+        by_held_.erase({destination.held.size(), id});
+        destination.held.emplace(message.arrival, message_id);
+        by_held_.insert({destination.held.size(), id});
+        ++destination.held_of[message.message_class];
     }
 
     // Doubling; from half of the allowed attempts on, those left are spread over the time left: otherwise
@@ -849,6 +1026,7 @@
             line.rest_for = event.message;
         }
         drop_line(key, now);
+        line_changed(key, now);
     }
     void drop_line(std::uint64_t key, Time now) {
         const KeyLine& line = keys_.at(key);
@@ -857,9 +1035,8 @@
 
     // A message is over when its time is, or when no further attempt is allowed.
     void end_overdue(Time now) {
-        std::vector<MessageId> over;
-        for (const auto& [id, message] : messages_)
-            if (ends_at(message) <= now) over.push_back(id);
+        std::vector<MessageId> over = ends_.due(now);
+        std::sort(over.begin(), over.end());
         for (const MessageId id : over) end(id, now);
     }
     Time ends_at(const Message& message) const {
@@ -894,14 +1071,32 @@
     void forget(MessageId id, Time now) {
         const auto found = messages_.find(id);
         if (found == messages_.end()) return;
-        Destination& destination = destinations_[found->second.destination];
-        destination.held.erase(found->second.arrival);
-        if (destination.held.empty()) active_.erase(found->second.destination);
-        if (const auto key = found->second.key) {
-            std::erase(keys_.at(*key).turn, id);
+        Message& message = found->second;
+        const DestinationId destination_id = message.destination;
+        Destination& destination = destinations_[destination_id];
+        make_ready(id, message, false);
+        set_doubt(message, std::nullopt);
+        ends_.erase(id);
+        pauses_.erase(id);
+        by_held_.erase({destination.held.size(), destination_id});
+        destination.held.erase(message.arrival);
+        --destination.held_of[message.message_class];
+        if (destination.held.empty())
+            deactivate(destination_id, destination);
+        else
+            by_held_.insert({destination.held.size(), destination_id});
+        const auto key = message.key;
+        if (key) {
+            std::deque<MessageId>& turn = keys_.at(*key).turn;
+            if (turn.front() == id)
+                turn.pop_front();
+            else
+                std::erase(turn, id);
             drop_line(*key, now);
         }
         messages_.erase(found);
+        if (key) line_changed(*key, now);
+        touch(destination_id, now);
     }
 
     // A tenant's own part of its quota, as a tag that may run ahead by kQuotaBurst.
@@ -919,22 +1114,54 @@
         const auto most =
             static_cast<std::size_t>(static_cast<double>(settings_.most_held) * (1.0 - kRoomKept));
         while (messages_.size() > std::max<std::size_t>(1, most)) {
-            std::optional<MessageId> least;
-            double least_worth = 0.0;
-            for (const auto& [destination_id, destination] : active_) {
-                Time turn = now + stalled(*destination, now);
-                for (const auto& [arrival, id] : destination->held) {
-                    turn += gap_of(drain_rate(*destination));
-                    const Message& message = messages_.at(id);
-                    if (message.out > 0 || message.doubt_since) continue;
-                    const double worth = worth_of(message, turn);
-                    if (!least || worth < least_worth) least = id, least_worth = worth;
-                }
-            }
+            const auto least = messages_.size() <= kExactHeld ? least_of_all(now) : least_of_some(now);
             if (!least) return;
             end(*least, now);
         }
     }
+    struct Least {
+        std::optional<MessageId> id;
+        double worth = 0.0;
+    };
+    std::optional<MessageId> least_of_all(Time now) const {
+        Least least;
+        for (const auto& [destination_id, destination] : active_) {
+            Time turn = now + stalled(*destination, now);
+            for (const auto& [arrival, id] : destination->held)
+                weigh(least, id, turn += gap_of(drain_rate(*destination)));
+        }
+        return least.id;
+    }
+    // Where very many are held: both ends of the longest lines, and of some others in turn.
+    std::optional<MessageId> least_of_some(Time now) {
+        Least least;
+        auto longest = by_held_.rbegin();
+        for (std::size_t i = 0; i < kLookAt && longest != by_held_.rend(); ++i, ++longest)
+            weigh_ends(least, *active_.at(longest->second), now);
+        auto next = active_.upper_bound(looked_at_);
+        for (std::size_t i = 0; i < kLookAt && !active_.empty(); ++i, ++next) {
+            if (next == active_.end()) next = active_.begin();
+            looked_at_ = next->first;
+            weigh_ends(least, *next->second, now);
+        }
+        return least.id;
+    }
+    void weigh_ends(Least& least, const Destination& destination, Time now) const {
+        const Time start = now + stalled(destination, now), gap = gap_of(drain_rate(destination));
+        const auto size = static_cast<Time::rep>(destination.held.size());
+        auto first = destination.held.begin();
+        auto last = destination.held.rbegin();
+        for (Time::rep i = 0; i < std::min<Time::rep>(kLookEnds, size); ++i, ++first, ++last) {
+            weigh(least, first->second, start + gap * (i + 1));
+            weigh(least, last->second, start + gap * (size - i));
+        }
+    }
+    void weigh(Least& least, MessageId id, Time turn) const {
+        const Message& message = messages_.at(id);
+        if (message.out > 0 || message.doubt_since) return;
+        const double worth = worth_of(message, turn);
+        if (!least.id || worth < least.worth) least = {id, worth};
+    }
     // While it ails, a destination is expected to stay so for as long again as it has been without a success.
     Time stalled(const Destination& destination, Time now) const {
         if (!ailing(destination)) return Time(0);
@@ -958,14 +1185,10 @@
     void set_timer(Time now) {
         Time next = watch_at_;
         if (!calls_.empty()) next = std::min(next, now + paced(kSweep, 1.0));
-        for (const auto& [id, message] : messages_) {
-            next = std::min(next, ends_at(message));
-            if (message.out == 0 && message.not_before > now) next = std::min(next, message.not_before);
-            if (message.out == 0 && message.key && turn_at(id, *message.key) > now)
-                next = std::min(next, turn_at(id, *message.key));
-        }
-        if (calls_.size() < settings_.slots)
-            for (const auto& [id, destination] : active_) next = std::min(next, next_due(*destination, now));
+        for (const auto& due : {ends_.next(), pauses_.next(), rests_.next()})
+            if (due) next = std::min(next, *due);
+        if (const auto due = dues_.next(); due && calls_.size() < settings_.slots)
+            next = std::min(next, *due);
         if (next == kNever) return;
         next = std::max(next, now + Time(1000));
         if (timer_at_ > now && timer_at_ <= next) return;
@@ -989,10 +1212,21 @@
 
     Settings settings_;
     std::mt19937_64 random_;
-    std::map<DestinationId, Destination> destinations_;
-    std::map<DestinationId, Destination*> active_;  // those that hold messages
-    std::map<EndpointId, Endpoint> endpoints_;
-    std::map<MessageId, Message> messages_;
+    std::unordered_map<DestinationId, Destination> destinations_;
+    std::map<DestinationId, Destination*> active_;  // those that hold messages,
+    Order by_share_;                                // all of them by share tag,
+    Order well_, sick_idle_, sick_busy_;            // and those that are not parked, apart
+    Time share_shift_{0};                           // their share tags are kept less this
+    std::set<std::pair<std::size_t, DestinationId>> by_held_;
+    std::set<DestinationId> unnamed_;  // of all: those that no endpoint names
+    lockgw::DueQueue<MessageId, Time> ends_, pauses_;
+    lockgw::DueQueue<std::uint64_t, Time> rests_, stale_lines_;  // of keys in order
+    lockgw::DueQueue<DestinationId, Time> dues_;                 // their next tag, wait or budget
+    std::map<EndpointId, std::size_t> doubts_;                   // messages that may have run there
+    DestinationId looked_at_ = 0;
+    int sick_calls_ = 0;
+    std::unordered_map<EndpointId, Endpoint> endpoints_;
+    std::unordered_map<MessageId, Message> messages_;
     std::map<std::uint64_t, KeyLine> keys_;
     std::map<std::pair<MessageId, std::uint32_t>, Attempt> attempts_;
     std::map<std::uint64_t, Call> calls_;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -19,7 +19,8 @@
 constexpr auto kAcceptPause = 20ms;  // after a failed accept, such as one for want of descriptors
 constexpr auto kRoomPause = 5ms;     // until somebody's grace is over
 constexpr auto kSweep = 200ms;
-constexpr auto kTell = 5s;  // between log lines
+constexpr auto kSweepOn = 2ms;  // where one turn was not enough
+constexpr auto kTell = 5s;      // between log lines
 constexpr auto kHandOnStep = 20ms;
 constexpr std::size_t kAccepts = 64;        // in one turn of the loop
 constexpr std::size_t kBatch = 128;         // requests handed on in one turn
@@ -178,13 +179,14 @@
 
 /// What is owed to every connection in time: an answer or a close.
 void Clients::sweep() {
-    for (std::size_t i = 0; i < door_.count() + 1; ++i) {
+    bool more = true;  // thousands that came together are overdue together: the others must not wait for them
+    for (std::size_t i = 0; i < kAccepts && more; ++i) {
         const auto farewell = door_.overdue(Clock::now());
-        if (!farewell) break;
-        send_away(*farewell);
+        more = farewell.has_value();
+        if (more) send_away(*farewell);
     }
     tell();
-    sweep_.expires_after(kSweep);
+    sweep_.expires_after(more ? kSweepOn : kSweep);
     sweep_.async_wait([this](auto cancelled) {
         if (!cancelled) sweep();
     });
