Door: the memory of one source is bounded; half-open peers, hand-overs and stalls tested

Half commands were bounded in all, not by source; four hard cases of the door had no test.

One source holds half of the room for half commands at the most while others hold some. Tests: 3,000 that waited in the queue of a stalled process all get an answer; half-open peers; an unread byte of 250 hoarders; 150 clients handed on to another forwarder; one source's memory.

--- a/rig/node.cpp
+++ b/rig/node.cpp
@@ -61,7 +61,12 @@
     return bytes;
 }
 
-Client::Client(const Tcp::endpoint& address) : socket_(io_) { socket_.connect(address); }
+Client::Client(const Tcp::endpoint& address, const std::string& from) : socket_(io_) {
+    socket_.open(Tcp::v4());
+    if (!from.empty()) socket_.bind({asio::ip::make_address(from), 0});
+    socket_.connect(address);
+}
+void Client::finish_sending() { socket_.shutdown(Tcp::socket::shutdown_send); }
 void Client::send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
 std::string Client::line() {
     std::string text;
--- a/rig/node.hpp
+++ b/rig/node.hpp
@@ -38,7 +38,10 @@
 /// A client connection that speaks RESP2, one step after another.
 class Client {
 public:
-    explicit Client(const boost::asio::ip::tcp::endpoint& address);
+    /// `from`: the address that it comes from, if not any.
+    explicit Client(const boost::asio::ip::tcp::endpoint& address, const std::string& from = "");
+    /// Ends its sending; it goes on reading.
+    void finish_sending();
     void send(const std::string& bytes);
     /// One line without its end; empty where the connection ended.
     std::string line();
--- a/src/admission/crowd.hpp
+++ b/src/admission/crowd.hpp
@@ -39,6 +39,9 @@
     std::size_t owners() const { return owners_.size(); }
     Ticket oldest() const { return all_.front(); }
     Ticket newest() const { return all_.back(); }
+    /// The first of an owner that has some.
+    Ticket oldest_of(Owner owner) const { return owners_.at(owner).front(); }
+    bool has(Owner owner) const { return owners_.contains(owner); }
     /// How many the owner with most of them has, and the first of these. Not for an empty one.
     std::size_t heaviest() const { return weights_.rbegin()->first; }
     Ticket oldest_of_heaviest() const { return owners_.at(weights_.rbegin()->second).front(); }
--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -196,6 +196,10 @@
     return first_to_go(of(one));
 }
 
+std::optional<Ticket> Door::first_of(Class one, Owner owner) const {
+    return of(one).has(owner) ? std::optional(of(one).oldest_of(owner)) : std::nullopt;
+}
+
 std::optional<Door::Farewell> Door::hand_on() const {
     for (const Class from : {Class::Silent, Class::Probed, Class::Proved, Class::Regular})
         if (!of(from).empty()) return Farewell{of(from).oldest(), from, false};
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -97,6 +97,8 @@
 
     /// Of a class, whom it would hit first; none where there is nobody.
     std::optional<Ticket> first(Class one) const;
+    /// The same of one owner.
+    std::optional<Ticket> first_of(Class one, Owner owner) const;
 
     std::size_t count() const { return records_.size(); }
     std::size_t count(Class one) const { return classes_[static_cast<std::size_t>(one)].size(); }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -166,15 +166,30 @@
     if (!making_room_) accept();
 }
 
-/// Many that each send half of a long command must not fill the memory.
-void Clients::bound_buffers() {
+void Clients::buffered(admission::Owner source, std::size_t before, std::size_t after) {
+    if (before == after) return;
+    buffered_ += after - before;
+    std::size_t& own = buffered_of_[source];
+    own += after - before;
+    if (own == 0) buffered_of_.erase(source);
+}
+
+/// Many that each send half of a long command must not fill the memory, and those of one source not the part
+/// of the others.
+void Clients::bound_buffers(admission::Owner source) {
     const std::size_t most = config_.memory_bytes / kMemoryShare;
-    while (buffered_ > most) {
-        const auto first = door_.first(Class::Partly);
-        if (!first) return;
-        ++counters_.too_much;
-        Session(sessions_.at(*first))->turn_away(resp::error("ERR too much at once"));
-    }
+    const auto of_source = [&] {
+        const auto found = buffered_of_.find(source);
+        return found == buffered_of_.end() || buffered_of_.size() == 1 ? 0 : found->second;
+    };
+    while (of_source() > most / 2 && turn_away_for_memory(door_.first_of(Class::Partly, source))) continue;
+    while (buffered_ > most && turn_away_for_memory(door_.first(Class::Partly))) continue;
+}
+bool Clients::turn_away_for_memory(std::optional<admission::Ticket> ticket) {
+    if (!ticket) return false;
+    ++counters_.too_much;
+    Session(sessions_.at(*ticket))->turn_away(resp::error("ERR too much at once"));
+    return true;
 }
 
 /// What is owed to every connection in time: an answer or a close.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -70,8 +71,9 @@
     void send_away(const admission::Door::Farewell& farewell);
     void sweep();
     void closed(const ClientSession& session, bool for_room);
-    void buffered(std::size_t before, std::size_t after) { buffered_ += after - before; }
-    void bound_buffers();
+    void buffered(admission::Owner source, std::size_t before, std::size_t after);
+    void bound_buffers(admission::Owner source);
+    bool turn_away_for_memory(std::optional<admission::Ticket> ticket);
     void hand_on_some();
     void tell();
 
@@ -93,8 +95,9 @@
     asio::steady_timer pause_, sweep_, hand_on_;
     bool accepting_ = false, pausing_ = false, draining_ = false, making_room_ = false, working_ = false;
     std::unordered_map<admission::Ticket, Session> sessions_;
-    std::size_t buffered_ = 0;  // bytes of commands that have not ended
-    std::size_t queued_ = 0;    // bytes of requests that wait
+    std::size_t buffered_ = 0;                                       // bytes of commands that have not ended,
+    std::unordered_map<admission::Owner, std::size_t> buffered_of_;  // and those of each source
+    std::size_t queued_ = 0;                                         // bytes of requests that wait
     std::size_t hand_on_steps_ = 0;
     DoorCounters counters_, told_;
     std::chrono::steady_clock::time_point told_at_{};
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -56,7 +56,7 @@
     closed_ = true;
     boost::system::error_code ignored;
     socket_.close(ignored);
-    owner_.buffered(std::exchange(buffered_, 0), 0);
+    owner_.buffered(source_, std::exchange(buffered_, 0), 0);
     owner_.closed(*this, for_room);
 }
 
@@ -101,7 +101,7 @@
     }
     if (parser_.midway()) {
         owner_.door_.began(ticket_, Clock::now());
-        owner_.bound_buffers();
+        owner_.bound_buffers(source_);
         if (last_ || closed_) return;
     } else if (owner_.draining_ && !unread()) {
         return close();
@@ -112,7 +112,7 @@
 }
 
 void ClientSession::count_buffered() {
-    owner_.buffered(std::exchange(buffered_, parser_.held()), parser_.held());
+    owner_.buffered(source_, std::exchange(buffered_, parser_.held()), parser_.held());
 }
 
 void ClientSession::answer(std::string text, bool useful) {
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -5,6 +5,9 @@
 // same.
 #include "rig/crowd.hpp"
 
+#include <csignal>
+#include <list>
+
 #include "membership_fixture.hpp"
 
 namespace lockgw {
@@ -123,5 +126,85 @@
     EXPECT_EQ(served, 1000) << node.log();
 }
 
+// A stalled process finds thousands in the listener's queue, each with its request written: every one gets an
+// answer, taken on or told when to come again, though there is room for 256 at a time.
+TEST_F(DoorTest, AnswersThousandsThatWaitedInTheQueue) {
+    constexpr int kClients = 3000;
+    start_with({member("s-1", 0), member("s-2", 1)});
+    ASSERT_EQ(::kill(node.pid(), SIGSTOP), 0);
+    std::list<Client> clients;
+    for (int i = 0; i < kClients; ++i) {
+        const std::string id = fresh_id();
+        clients.emplace_back(node.address());
+        clients.back().send(rig::command({"ENQUEUE", "0000000000000000", id,
+            "c=safe,t=acme,d=30000,k=" + id + ",dest=7", std::string(200, 'b')}));
+    }
+    std::this_thread::sleep_for(600ms);  // most have waited longer than their clients would
+    ASSERT_EQ(::kill(node.pid(), SIGCONT), 0);
+    int taken = 0, told = 0;
+    for (Client& client : clients) {
+        const std::string line = client.line();
+        taken += line == "+OK";
+        told += line.starts_with("-BUSY ");
+    }
+    EXPECT_EQ(taken + told, kClients) << taken << " taken, " << told << " told to come again\n" << node.log();
+}
+
+// One that has ended its sending still reads; one that has one more byte to say is no reason to keep all
+// others.
+TEST_F(DoorTest, AnswersAHalfOpenPeerAndPassesOverAnUnreadByte) {
+    start_with({member("s-1", 0), member("s-2", 1)});
+    std::list<Client> hoarders;
+    for (int i = 0; i < 250; ++i) {
+        hoarders.emplace_back(node.address());
+        hoarders.back().send(rig::command({"PING"}) + "*");
+    }
+    for (int i = 0; i < 50; ++i) {
+        Client client = node.client();
+        const std::string id = fresh_id();
+        client.send(
+            rig::command({"ENQUEUE", "0000000000000000", id, "c=safe,t=acme,d=30000,k=x,dest=7", "B"}));
+        client.finish_sending();
+        ASSERT_EQ(client.line(), "+OK") << i << node.log();
+    }
+}
+
+// A forwarder that ends hands its clients on a few at a time; all of them find a place at another.
+TEST_F(DoorTest, HandsItsClientsOnToAnother) {
+    start_with({member("s-1", 0), member("s-2", 1)});
+    Node other(node.config());
+    other.config()["listen"] = text_of(other.address());
+    other.start_ready();
+    std::list<Client> clients;
+    for (int i = 0; i < 150; ++i) {
+        clients.emplace_back(node.address());
+        ASSERT_EQ(enqueue(clients.back(), fresh_id()), "+OK");
+    }
+    node.terminate();
+    for (Client& client : clients) {
+        ASSERT_TRUE(client.ended());
+        Client again(other.address());
+        ASSERT_EQ(enqueue(again, fresh_id()), "+OK") << other.log();
+    }
+    EXPECT_EQ(node.wait(), 0) << node.log();
+}
+
+// Half commands of one source must not take the memory of another's.
+TEST_F(DoorTest, BoundsTheMemoryOfOneSource) {
+    node.config()["limits"]["memory_mb"] = 8;  // 1 MB for half commands, half of it for one source
+    start_with({member("s-1", 0)});
+    const std::string half = "*2\r\n$4\r\nPING\r\n$60000\r\n" + std::string(50'000, 'h');
+    Client modest(node.address(), "127.0.0.9");
+    modest.send(half);
+    std::list<Client> greedy;
+    for (int i = 0; i < 14; ++i) {
+        greedy.emplace_back(node.address(), "127.0.0.8");
+        greedy.back().send(half);
+    }
+    EXPECT_EQ(greedy.front().line(), "-ERR too much at once");
+    modest.send(std::string(10'000, 'h') + "\r\n");
+    EXPECT_EQ(modest.line(), "$60000");
+}
+
 }  // namespace
 }  // namespace lockgw
