Large size: no turn moves all that is held; longer lists; the beginning of a load apart

Cause: with 100,000 held a turn took 15 to 18 ms. They are made for most_held at the start. Answers of discovery were bounded at 4 MB and 20,000 members: now at a twenty-fourth of the memory (4 to 64 MB) and 100,000.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -28,7 +28,7 @@
 
 struct Row {
     double per_s = 0, cpu_us = 0, held_mb = 0, turn_ms = 0;
-    double ok_50 = 0, ok_99 = 0, ok_most = 0, target_50 = 0, target_99 = 0;
+    double ok_50 = 0, ok_99 = 0, ok_most = 0, target_50 = 0, target_99 = 0, target_99_later = 0;
     std::uint64_t busy = 0, failed = 0;
 };
 
@@ -37,6 +37,9 @@
         {"phase", "in_service"}, {"size", 1.0}, {"up_since_ms", 0}};
 }
 
+constexpr std::size_t kMostListeners = 2000;
+constexpr auto kBeginning = milliseconds(300);  // of the load: connections are made, and speeds learned
+
 /// As the program tells at its end; 0 where it does not.
 double longest_turn_ms(Node& node) {
     node.terminate();
@@ -49,10 +52,11 @@
 Row run(const std::string& program, std::size_t destinations, std::size_t held, std::size_t connections,
     const Options& options) {
     Directory directory;
-    Targets targets(destinations + 1);  // the last one hangs
+    const std::size_t answering = std::min(destinations, kMostListeners);  // several destinations at each
+    Targets targets(answering + 1);                                        // the last one hangs
     CallScript hang;
     hang.kind = CallScript::Kind::Hang;
-    targets.usual(destinations, hang);
+    targets.usual(answering, hang);
     Node node(make_config("127.0.0.1:1", directory.address()), program);
     nlohmann::json& config = node.config();
     config["limits"] = {{"cores", 1.0}, {"memory_mb", 4096}, {"sockets", 16'000}, {"disk_mb", 2048}};
@@ -60,7 +64,8 @@
     config["settings"]["limits"]["most_held"] = 400'000;
     std::vector<nlohmann::json> members;
     for (std::size_t i = 0; i <= destinations; ++i)
-        members.push_back(member("s-" + std::to_string(i), targets.address(i), i));
+        members.push_back(member(
+            "s-" + std::to_string(i), targets.address(i < destinations ? i % answering : answering), i));
     directory.put_all(members);
     node.start_ready();
     if (!directory.wait_asked_from(directory.revision(), kDeadline))
@@ -95,12 +100,17 @@
     row.held_mb = static_cast<double>(full - std::min(full, empty)) / 1e6;
     row.ok_50 = quantile(result.answers_ms, 0.5), row.ok_99 = quantile(result.answers_ms, 0.99);
     row.ok_most = quantile(result.answers_ms, 1.0);
-    std::vector<double> to_target;
+    std::vector<double> to_target, to_target_later;
+    Clock::time_point first = Clock::time_point::max();
+    for (const auto& [id, sent] : result.sent) first = std::min(first, sent);
     for (const SeenCall& call : targets.calls())
-        if (const auto sent = result.sent.find(call.id); sent != result.sent.end())
+        if (const auto sent = result.sent.find(call.id); sent != result.sent.end()) {
             to_target.push_back(
                 std::chrono::duration<double, std::milli>(call.first_byte - sent->second).count());
+            if (sent->second > first + kBeginning) to_target_later.push_back(to_target.back());
+        }
     row.target_50 = quantile(to_target, 0.5), row.target_99 = quantile(to_target, 0.99);
+    row.target_99_later = quantile(to_target_later, 0.99);
     row.turn_ms = longest_turn_ms(node);
     return row;
 }
@@ -127,7 +137,7 @@
             std::cout << std::setw(7) << "dests" << std::setw(9) << "held" << std::setw(7) << "conns"
                       << "  build  ";
             for (const char* head : {"msgs/s", "cpu us", "ok p50", "ok p99", "ok max", "tgt p50", "tgt p99",
-                     "turn max", "busy", "failed", "held MB"})
+                     "later", "turn max", "busy", "failed", "held MB"})
                 std::cout << std::setw(9) << head;
             std::cout << '\n' << std::fixed;
         }
@@ -143,16 +153,18 @@
                                 {"connections", connections}, {"per_s", row.per_s}, {"cpu_us", row.cpu_us},
                                 {"ok_p50_ms", row.ok_50}, {"ok_p99_ms", row.ok_99},
                                 {"ok_max_ms", row.ok_most}, {"target_p50_ms", row.target_50},
-                                {"target_p99_ms", row.target_99}, {"busy", row.busy}, {"failed", row.failed},
-                                {"held_mb", row.held_mb}, {"longest_turn_ms", row.turn_ms}});
+                                {"target_p99_ms", row.target_99},
+                                {"target_p99_later_ms", row.target_99_later}, {"busy", row.busy},
+                                {"failed", row.failed}, {"held_mb", row.held_mb},
+                                {"longest_turn_ms", row.turn_ms}});
                             continue;
                         }
                         std::cout << std::setw(7) << destinations << std::setw(9) << held << std::setw(7)
                                   << connections << "  " << std::left << std::setw(7) << build << std::right;
                         std::cout << std::setprecision(0) << std::setw(9) << row.per_s << std::setprecision(1)
                                   << std::setw(9) << row.cpu_us << std::setprecision(2);
-                        for (const double value :
-                            {row.ok_50, row.ok_99, row.ok_most, row.target_50, row.target_99, row.turn_ms})
+                        for (const double value : {row.ok_50, row.ok_99, row.ok_most, row.target_50,
+                                 row.target_99, row.target_99_later, row.turn_ms})
                             std::cout << std::setw(9) << value;
                         std::cout << std::setw(9) << row.busy << std::setw(9) << row.failed << std::setw(9)
                                   << row.held_mb << std::endl;
--- a/rig/load.cpp
+++ b/rig/load.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <deque>
 #include <memory>
+#include <utility>
 
 #include "rig/node.hpp"
 
@@ -54,6 +55,7 @@
         Tcp::socket socket;
         std::string out, in, id;
         Clock::time_point due;
+        bool renewed = false;  // for the present request
     };
 
     bool over() const { return Clock::now() >= until_ || (plan_.most > 0 && result_.asked >= plan_.most); }
@@ -93,15 +95,32 @@
             "c=safe,t=acme,d=" + std::to_string(plan_.left_ms) + ",k=" + line.id +
                 ",dest=" + std::to_string(cell),
             body_});
+        line.renewed = false;
+        send(line);
+    }
+    void send(Line& line) {
+        line.in.clear();
         asio::async_write(line.socket, asio::buffer(line.out), [this, &line](auto failed, std::size_t) {
-            if (failed) return void(++result_.failed);
+            if (failed) return again(line);
             asio::async_read_until(line.socket, asio::dynamic_buffer(line.in), "\r\n",
                 [this, &line](auto error, std::size_t length) {
-                    if (error) return void(++result_.failed);
+                    if (error) return again(line);
                     answered(line, length);
                 });
         });
     }
+    /// A forwarder may close a connection between requests: one that crosses that is sent once more.
+    void again(Line& line) {
+        if (std::exchange(line.renewed, true)) return void(++result_.failed);
+        ++result_.renewed;
+        line.socket = Tcp::socket(io_);
+        line.socket.async_connect(plan_.address, [this, &line](auto failed) {
+            if (failed) return void(++result_.failed);
+            boost::system::error_code ignored;
+            line.socket.set_option(Tcp::no_delay(true), ignored);
+            send(line);
+        });
+    }
     void answered(Line& line, std::size_t length) {
         last_ = Clock::now();
         if (line.in[0] == '+') {
--- a/rig/load.hpp
+++ b/rig/load.hpp
@@ -25,7 +25,7 @@
 };
 
 struct LoadResult {
-    std::uint64_t asked = 0, taken = 0, busy = 0, failed = 0;
+    std::uint64_t asked = 0, taken = 0, busy = 0, failed = 0, renewed = 0;
     double seconds = 0;
     std::vector<double> answers_ms;  ///< from its sending to its +OK
     std::unordered_map<std::string, std::chrono::steady_clock::time_point> sent;  ///< by id, those taken
--- a/src/containers/due_queue.hpp
+++ b/src/containers/due_queue.hpp
@@ -30,6 +30,8 @@
         order_.erase({found->second, key});
         when_.erase(found);
     }
+    /// Room for so many keys, so that set() need not make it (in one go, for all of them).
+    void reserve(std::size_t keys) { when_.reserve(keys); }
     bool empty() const { return order_.empty(); }
     std::size_t size() const { return order_.size(); }
     /// The earliest moment; none where nothing is held.
--- a/src/membership/agent.cpp
+++ b/src/membership/agent.cpp
@@ -25,7 +25,7 @@
     request_.set(http::field::host, "discovery");
     request_.prepare_payload();
     parser_.emplace();
-    parser_->body_limit(kMostListBytes);
+    parser_->body_limit(most_bytes_);
     socket_.is_open() ? write() : connect();
 }
 
@@ -59,7 +59,7 @@
         if (parser_->get().result_int() / 100 != 1) return finish();
         if (++interim_ > kMostInterim) return fail("no end of interim answers");
         parser_.emplace();  // the answer itself is still to come
-        parser_->body_limit(kMostListBytes);
+        parser_->body_limit(most_bytes_);
         return read();
     }
     if (!std::exchange(begun_, true)) reached_(AskPlan::Phase::Reading);
--- a/src/membership/agent.hpp
+++ b/src/membership/agent.hpp
@@ -1,7 +1,7 @@
 /// One request at a time to the agent of discovery, over a connection that is kept for the next.
 ///
 /// It has no time limits of its own: whoever asks watches the phases and gives it up. Bounded: a head of
-/// 8 KiB, a body of kMostListBytes, kMostInterim answers of 1xx ahead of the answer. Handlers hold the
+/// 8 KiB, a body of `most_bytes`, kMostInterim answers of 1xx ahead of the answer. Handlers hold the
 /// connection, and those of an earlier request touch nothing.
 #pragma once
 
@@ -31,9 +31,9 @@
     using Answered = std::function<void(Answer)>;
 
     /// `spare` outlives it: given back where there is no descriptor left to connect with.
-    AgentConnection(
-        boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, SpareDescriptor& spare)
-        : address_(address), socket_(io), spare_(spare) {}
+    AgentConnection(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+        SpareDescriptor& spare, std::size_t most_bytes)
+        : address_(address), socket_(io), spare_(spare), most_bytes_(most_bytes) {}
 
     /// `answered` comes once, never from within this call.
     void ask(boost::beast::http::verb verb, const std::string& path, std::string body, Reached reached,
@@ -64,6 +64,7 @@
     boost::asio::ip::tcp::endpoint address_;
     boost::asio::ip::tcp::socket socket_;
     SpareDescriptor& spare_;
+    std::size_t most_bytes_;
     std::uint64_t turn_ = 0;  // of the request that is out
     bool reusable_ = false, begun_ = false;
     int interim_ = 0;
--- a/src/membership/asker.cpp
+++ b/src/membership/asker.cpp
@@ -5,8 +5,10 @@
 
 namespace lockgw {
 
-Asker::Asker(boost::asio::io_context& io, AskPlan::Limits limits, Make make, Over over, Peek peek)
+Asker::Asker(boost::asio::io_context& io, AskPlan::Limits limits, std::size_t most_bytes, Make make,
+    Over over, Peek peek)
     : io_(io),
+      most_bytes_(most_bytes),
       plan_(limits),
       make_(std::move(make)),
       over_(std::move(over)),
@@ -59,7 +61,8 @@
 
 void Asker::begin(std::uint64_t request) {
     Connection connection = std::exchange(spare_, nullptr);
-    if (!connection) connection = std::make_shared<AgentConnection>(io_, address_, spare_descriptor_);
+    if (!connection)
+        connection = std::make_shared<AgentConnection>(io_, address_, spare_descriptor_, most_bytes_);
     out_.emplace(request, connection);
     Request made = make_(request);
     connection->ask(
--- a/src/membership/asker.hpp
+++ b/src/membership/asker.hpp
@@ -26,7 +26,9 @@
     /// What has come so far of an answer that takes long.
     using Peek = std::function<void(std::uint64_t, const AgentConnection::Answer&)>;
 
-    Asker(boost::asio::io_context& io, AskPlan::Limits limits, Make make, Over over, Peek peek = {});
+    /// `most_bytes`: of an answer.
+    Asker(boost::asio::io_context& io, AskPlan::Limits limits, std::size_t most_bytes, Make make, Over over,
+        Peek peek = {});
     ~Asker();
 
     /// The first address, or another agent: what is out is given up, and nothing is told of it.
@@ -45,6 +47,7 @@
     void leave();
 
     boost::asio::io_context& io_;
+    std::size_t most_bytes_;
     SpareDescriptor spare_descriptor_;  // whoever else has taken all: drains must be heard of
     boost::asio::ip::tcp::endpoint address_;
     AskPlan plan_;
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -15,6 +15,7 @@
 constexpr auto kHold = 1500ms;
 constexpr std::size_t kMostNotices = 256;  // in one request
 constexpr auto kLogGap = 5s;               // between lines on failures in a row
+constexpr auto kLongList = 20ms;           // to take a list in: it is told
 constexpr auto kWorthTelling = 1s;         // an agent that was not heard for so long is told to be back
 
 AskPlan::Limits watch_limits() {
@@ -42,11 +43,13 @@
       confirmed_(std::move(confirmed)),
       view_(std::move(settings.zones), std::move(settings.kinds)),
       watch_(
-          io, watch_limits(), [this](std::uint64_t request) { return ask_list(request); },
+          io, watch_limits(), settings.most_list_bytes,
+          [this](std::uint64_t request) { return ask_list(request); },
           [this](std::uint64_t request, const auto& answer) { return list_over(request, answer); },
           [this](std::uint64_t request, const auto& answer) { list_peek(request, answer); }),
       reports_(
-          io, report_limits(), [this](std::uint64_t request) { return post_notices(request); },
+          io, report_limits(), kLeastListBytes,
+          [this](std::uint64_t request) { return post_notices(request); },
           [this](std::uint64_t request, const auto& answer) { return post_over(request, answer); }) {}
 
 void Discovery::take_known() try {
@@ -84,8 +87,12 @@
 bool Discovery::list_over(std::uint64_t request, const AgentConnection::Answer& answer) {
     const View::Asked asked = asked_.extract(request).mapped();
     std::string why;
+    const auto begun = Clock::now();
     const View::Update update = judged(asked, answer, why);
     tell(update);
+    if (const auto took = Clock::now() - begun; took > kLongList)  // nothing else was done meanwhile
+        std::cerr << "discovery: a list of " << update.told.targets.size() << " targets, "
+                  << answer.body.size() << " bytes, took " << seconds(took) << " s\n";
     if (!update.taken) {
         if (!why.empty()) log_failure(why);
         return false;
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -21,8 +21,9 @@
 public:
     struct Settings {
         Tcp::endpoint address;
-        Json known;                          ///< the list as last had, in discovery's form
-        std::set<std::string> zones, kinds;  ///< the names that the settings know
+        Json known;                                     ///< the list as last had, in discovery's form
+        std::set<std::string> zones, kinds;             ///< the names that the settings know
+        std::size_t most_list_bytes = kLeastListBytes;  ///< a longer answer is read as one that was cut off
     };
     using MessageId = cometspoke::MessageId;
     using Told = std::function<void(const View::Update&)>;
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -5,6 +5,7 @@
 /// section "Discovery".
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -43,9 +44,15 @@
     std::vector<BadEntry> bad{};
 };
 
-constexpr std::size_t kMostTargets = 20'000;      ///< in one answer
-constexpr std::size_t kMostIdLength = 256;        ///< bytes
-constexpr std::size_t kMostListBytes = 4u << 20;  ///< of one answer
+constexpr std::size_t kMostTargets = 100'000;                                  ///< in one answer
+constexpr std::size_t kMostIdLength = 256;                                     ///< bytes
+constexpr std::size_t kLeastListBytes = 4u << 20, kMostListBytes = 64u << 20;  ///< of one answer
+
+/// How long an answer a process of so much memory reads: a list takes some twelve times its bytes while it is
+/// taken in, and two may come at once.
+constexpr std::size_t list_bytes_for(std::size_t memory_bytes) {
+    return std::clamp(memory_bytes / 24, kLeastListBytes, kMostListBytes);
+}
 
 /// Throws BadInput or a JSON error where it is no list.
 TargetList list_of(const Json& body);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -354,7 +354,8 @@
     const auto& limits = hand_over_->limits();
     if (passed >= limits.end) return drain();
     const std::size_t resting = door_.count(Class::Silent) + door_.count(Class::Trial) +
-                                door_.count(Class::Probed) + door_.count(Class::Proved) + door_.count(Class::Regular);
+                                door_.count(Class::Probed) + door_.count(Class::Proved) +
+                                door_.count(Class::Regular);
     for (std::size_t left = hand_over_->due(resting, passed); left > 0; --left)
         if (const auto farewell = door_.hand_on()) send_away(*farewell);
     hand_on_.expires_after(limits.step);
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -55,7 +55,7 @@
 Forwarder::Forwarder(asio::io_context& io, Config config)
     : io_(io),
       config_(within_descriptors(std::move(config))),
-      journal_(config_.state, config_.disk_bytes),
+      journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
       sender_(config_.settings, config_.seed),
       targets_(
           io, config_, most_target_connections(config_),
@@ -63,7 +63,8 @@
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
           io,
-          {config_.discovery, config_.known, names_in(config_.names.zones), names_in(config_.names.kinds)},
+          {config_.discovery, config_.known, names_in(config_.names.zones), names_in(config_.names.kinds),
+              list_bytes_for(config_.memory_bytes)},
           [this](const View::Update& update) { list(update); },
           [this](MessageId id) {
               open_turn();
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -25,6 +25,8 @@
     2 * kLongestTarget + 64;        // an entry may grow by so much after it was taken on
 constexpr double kLiveShare = 0.4;  // of the room: the old file, the new one and some appending fit in it
 
+constexpr std::size_t kMostReserved = 1u << 20;  // entries
+
 constexpr std::size_t kLeastCompaction = 512 * 1024;  // a file is written anew from this size,
 constexpr std::size_t kStaleTimes = 4;                // and so many times what it would then hold
 
@@ -169,8 +171,9 @@
     if (fd_ >= 0) ::close(fd_);
 }
 
-Journal::Journal(std::filesystem::path folder, std::size_t disk_bytes)
+Journal::Journal(std::filesystem::path folder, std::size_t disk_bytes, std::size_t expected)
     : folder_(std::move(folder)), most_(disk_bytes - std::min(disk_bytes, kFolder)) {
+    entries_.reserve(std::min(expected, kMostReserved));
     std::error_code ignored;
     std::filesystem::remove(folder_ / "journal.new", ignored);  // a compaction that was cut off
     recover();
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -66,7 +66,8 @@
 class Journal {
 public:
     /// Reads back what an earlier process owed. Throws std::runtime_error where the folder cannot be used.
-    Journal(std::filesystem::path folder, std::size_t disk_bytes);
+    /// `expected`: entries that it is to hold without making room for them in the middle of a turn.
+    Journal(std::filesystem::path folder, std::size_t disk_bytes, std::size_t expected = 0);
     ~Journal() { keep_turn(); }
     Journal(const Journal&) = delete;
     Journal& operator=(const Journal&) = delete;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -181,6 +181,8 @@
         quota_tags_.resize(settings_.tenants.size(), kLongAgo);
         unconnected_.resize(settings_.kinds.size(), kLongAgo);
         if (settings_.must_subscribe) watch_at_ = kLongAgo;
+        const std::size_t most = std::min<std::size_t>(settings_.most_held, 1u << 20);
+        messages_.reserve(most), ends_.reserve(most);  // lest a turn moves all of them to a larger table
     }
 
     bool apart(const Endpoint& endpoint) const { return settings_.kinds[endpoint.kind].routes_apart; }
@@ -257,7 +259,7 @@
     lockgw::DueQueue<DestinationId, Time> dues_;                 // their next tag, wait or budget
     std::map<EndpointId, std::size_t> doubts_;                   // messages that may have run there
     DestinationId looked_at_ = 0;
-    int sick_calls_ = 0;
+    int sick_calls_ = 0, watch_tries_ = 0;
     std::unordered_map<EndpointId, Endpoint> endpoints_;
     std::unordered_map<MessageId, Message> messages_;
     std::map<std::uint64_t, KeyLine> keys_;
@@ -271,9 +273,7 @@
     std::uint64_t arrivals_ = 0, call_count_ = 0;
     double overall_usual_ = 0.0;
     bool reserved_ = false;
-    Time watch_at_ = kNever;
-    int watch_tries_ = 0;
-    Time timer_at_{kLongAgo}, tidy_at_{kLongAgo};
+    Time watch_at_ = kNever, timer_at_{kLongAgo}, tidy_at_{kLongAgo};
 };
 
 }  // namespace cometspoke::policy
