Packages by concern; fronts and deliveries behind two small interfaces

Need: a second protocol must be a folder of its own and no edit to the core; a reader should see the way of a message in the folder names.

A front hands a message in through Intake and gets a Reply; a delivery takes a Call and gives an Outcome.

--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -4,7 +4,7 @@
 #include "admission/door.hpp"
 #include "admission/fair_queue.hpp"
 #include "admission/overload.hpp"
-#include "net/resp.hpp"
+#include "fronts/resp2/resp.hpp"
 
 using namespace lockgw;
 using namespace lockgw::admission;
--- a/bench/net_bench.cpp
+++ b/bench/net_bench.cpp
@@ -3,9 +3,9 @@
 
 #include <filesystem>
 
-#include "net/answer.hpp"
-#include "net/journal.hpp"
+#include "deliveries/http/answer.hpp"
 #include "rig/node.hpp"
+#include "store/journal.hpp"
 
 using namespace lockgw;
 
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -13,9 +13,9 @@
 #include <fstream>
 #include <iostream>
 
-#include "net/config.hpp"
-#include "net/enqueue.hpp"
-#include "net/resp.hpp"
+#include "config/config.hpp"
+#include "fronts/resp2/enqueue.hpp"
+#include "fronts/resp2/resp.hpp"
 
 namespace lockgw {
 namespace {
--- a/src/checked_settings.cpp
+++ b/src/base/checked_settings.cpp
@@ -1,4 +1,4 @@
-#include "checked_settings.hpp"
+#include "base/checked_settings.hpp"
 
 #include <stdexcept>
 #include <string>
--- a/src/base/address.cpp
+++ b/src/config/address.cpp
@@ -1,8 +1,8 @@
-#include "base/address.hpp"
+#include "config/address.hpp"
 
 #include <charconv>
 
-#include "settings.hpp"
+#include "config/settings.hpp"
 
 namespace lockgw {
 
@@ -34,4 +34,8 @@
     return endpoint_of<asio::ip::udp::endpoint>(text, what);
 }
 
+std::string address_text(const asio::ip::tcp::endpoint& endpoint) {
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
 }  // namespace lockgw
--- a/src/net/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "config.hpp"
+#include "config/config.hpp"
 
 #include <sys/resource.h>
 
--- a/src/net/config.hpp
+++ b/src/config/config.hpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "base/address.hpp"
-#include "settings.hpp"
+#include "config/address.hpp"
+#include "config/settings.hpp"
 
 namespace lockgw {
 
--- a/src/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.hpp"
+#include "config/settings.hpp"
 
 #include <cmath>
 #include <utility>
--- a/src/net/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -1,4 +1,4 @@
-#include "forwarder.hpp"
+#include "core/forwarder.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -36,10 +36,6 @@
     return config;
 }
 
-std::string busy(milliseconds wait) {
-    return resp::error(wait > 0ms ? "BUSY " + std::to_string(wait.count()) : "BUSY");
-}
-
 std::set<std::string> names_in(const cometspoke::settings::Index& index) {
     std::set<std::string> names;
     for (const auto& [name, place] : index) names.insert(name);
@@ -52,15 +48,15 @@
 
 }  // namespace
 
-Forwarder::Forwarder(asio::io_context& io, Config config)
+Forwarder::Forwarder(asio::io_context& io, Config config, const Protocols& protocols)
     : io_(io),
       config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
       sender_(config_.settings, config_.seed),
-      targets_(
+      delivery_(protocols.delivery(
           io, config_, most_target_connections(config_),
           [this](const Call& call, const Tcp::endpoint& address) { return may_have(call, address); },
-          [this](const OutcomeEvent& event) { outcome(event); }),
+          [this](const OutcomeEvent& event) { outcome(event); })),
       discovery_(
           io,
           {config_.discovery, config_.known, names_in(config_.names.zones), names_in(config_.names.kinds),
@@ -72,22 +68,18 @@
               stop_if_done();
           }),
       peers_(io, config_, [this](const PeerNote& note) { observe(note); }),
-      clients_(
-          io, config_, most_client_connections(config_),
-          [this](Message message, Time left, Clients::Answer answer) {
-              enqueue(std::move(message), left, std::move(answer));
-          },
-          [this] { return targets_.close_one(); }),
+      front_(protocols.front(io, config_, most_client_connections(config_), *this)),
       timer_(io),
       drain_step_(io),
       drain_end_(io) {}
+Forwarder::~Forwarder() = default;
 
 void Forwarder::start() {
     discovery_.take_known();
     take_up();
     peers_.start();
     discovery_.start();
-    clients_.listen();
+    front_->listen();
 }
 
 /// What an earlier process owed is owed still, with what it knew of each attempt.
@@ -122,7 +114,7 @@
 void Forwarder::list(const View::Update& update) {
     const TargetList& told = update.told;
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
-    for (const EndpointId endpoint : gone) targets_.forget(endpoint);
+    for (const EndpointId endpoint : gone) delivery_->forget(endpoint);
     ListEvent event;
     event.kind = !told.complete              ? ListKind::Changes
                  : discovery_.view().whole() ? ListKind::Full
@@ -137,12 +129,12 @@
         entry.destination = target.destination;
         entry.rate = target.rate;
         entry.condition = target.condition;
-        if (target.condition == Condition::Ready) targets_.set_address(*endpoint, target.address);
-        if (target.condition == Condition::Draining) targets_.withdraw(*endpoint);
+        if (target.condition == Condition::Ready) delivery_->set_address(*endpoint, target.address);
+        if (target.condition == Condition::Draining) delivery_->withdraw(*endpoint);
         event.entries.push_back(entry);
     }
     for (const std::string& id : update.restarted)  // connections to the process before it are dead
-        if (const auto endpoint = directory_.find(id)) targets_.close_idle(*endpoint);
+        if (const auto endpoint = directory_.find(id)) delivery_->close_idle(*endpoint);
     observe(event);
 }
 
@@ -158,28 +150,30 @@
     return false;
 }
 
-void Forwarder::enqueue(Message message, Time left, Clients::Answer answer) {
+void Forwarder::hand_in(Message message, Time left, Done done) {
     const MessageId id = message.id;
     if (const auto twin = newcomers_.find(id); twin != newcomers_.end()) {
-        twin->second.answer = [first = std::move(twin->second.answer), answer = std::move(answer)](
-                                  const std::string& text) {
-            first(text);
-            answer(text);
+        twin->second.done = [first = std::move(twin->second.done), done = std::move(done)](
+                                const Reply& reply) {
+            first(reply);
+            done(reply);
         };
         return;
     }
     // A client that met a closed connection hands the same id in once more: it is held already.
-    if (journal_.find(id) != nullptr) return answer(resp::simple("OK"));
+    if (journal_.find(id) != nullptr) return done(Reply::taken());
     if (!directory_.has(message.destination, std::chrono::steady_clock::now()) && !directory_.blank())
-        return answer(discovery_.view().whole() ? resp::error("ERR unknown destination") : busy(kRoomWait));
-    if (journal_.unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
+        return done(
+            discovery_.view().whole() ? Reply::rejected("unknown destination") : Reply::busy(kRoomWait));
+    if (journal_.unended() + newcomers_.size() >= config_.settings.most_held)
+        return done(Reply::busy(kRoomWait));
     MessageEvent event;
     event.message = id;
     event.destination = message.destination;
     event.message_class = config_.names.classes.at(message.message_class);
     if (!message.tenant.empty()) event.tenant = config_.names.tenants.at(message.tenant);
     event.left = left;
-    newcomers_.emplace(id, Newcomer{std::move(message), std::move(answer)});
+    newcomers_.emplace(id, Newcomer{std::move(message), std::move(done)});
     observe(event);
 }
 
@@ -216,33 +210,33 @@
 void Forwarder::decide_and_act() {
     turn_due_ = false;
     const std::vector<Action> actions = sender_.decide(now());
-    auto answers = take_on(actions);
+    auto replies = take_on(actions);
     std::vector<Recorded> recorded(actions.size());
     for (std::size_t i = 0; i < actions.size(); ++i) guarded([&] { recorded[i] = record(actions[i]); });
-    if (!journal_.keep_turn()) take_back(answers, actions, recorded);
-    answer_newcomers(answers);
+    if (!journal_.keep_turn()) take_back(replies, actions, recorded);
+    answer_newcomers(replies);
     for (std::size_t i = 0; i < actions.size(); ++i)
         guarded([&] { std::visit([&](const auto& one) { carry_out(one, recorded[i]); }, actions[i]); });
 }
 
 /// What each newcomer hears, if the turn is kept.
-std::map<MessageId, std::string> Forwarder::take_on(const std::vector<Action>& actions) {
-    std::map<MessageId, std::string> answers;
-    if (newcomers_.empty()) return answers;
+Forwarder::Replies Forwarder::take_on(const std::vector<Action>& actions) {
+    Replies replies;
+    if (newcomers_.empty()) return replies;
     for (const Action& action : actions) {
         if (const auto* refuse = std::get_if<Refuse>(&action))
-            answers.emplace(
-                refuse->message, busy(std::chrono::duration_cast<milliseconds>(refuse->retry_after)));
+            replies.emplace(
+                refuse->message, Reply::busy(std::chrono::duration_cast<milliseconds>(refuse->retry_after)));
         else if (const auto* fail = std::get_if<Fail>(&action))
-            answers.emplace(fail->message, resp::error("ERR out of time"));
+            replies.emplace(fail->message, Reply::rejected("out of time"));
     }
     for (const auto& [id, newcomer] : newcomers_) {
-        if (answers.contains(id)) continue;
+        if (replies.contains(id)) continue;
         const bool taken = journal_.take_on(newcomer.message);
-        answers.emplace(id, taken ? resp::simple("OK") : busy(kRoomWait));
+        replies.emplace(id, taken ? Reply::taken() : Reply::busy(kRoomWait));
         if (!taken) sender_.observe(AbandonedEvent{id}, now());
     }
-    return answers;
+    return replies;
 }
 
 Forwarder::Recorded Forwarder::record(const Action& action) {
@@ -267,17 +261,17 @@
 }
 
 /// The disk did not take the turn: nobody was taken on, and no attempt begins.
-void Forwarder::take_back(std::map<MessageId, std::string>& answers, const std::vector<Action>& actions,
-    std::vector<Recorded>& recorded) {
+void Forwarder::take_back(
+    Replies& replies, const std::vector<Action>& actions, std::vector<Recorded>& recorded) {
     for (std::size_t i = 0; i < actions.size(); ++i)
         if (const auto* send = std::get_if<Send>(&actions[i]); send && recorded[i].kept) {
             recorded[i].kept = false;
             journal_.end_attempt(send->message, true);
         }
-    for (auto& [id, answer] : answers) {
-        if (!answer.starts_with('+')) continue;
+    for (auto& [id, reply] : replies) {
+        if (reply.kind != Reply::Kind::Taken) continue;
         journal_.withdraw(id);
-        answer = busy(kRoomWait);
+        reply = Reply::busy(kRoomWait);
         sender_.observe(AbandonedEvent{id}, now());
     }
 }
@@ -291,9 +285,9 @@
 }
 
 /// Before any call goes out: a message is delivered only if its client has heard that it was taken on.
-void Forwarder::answer_newcomers(const std::map<MessageId, std::string>& answers) {
+void Forwarder::answer_newcomers(const Replies& replies) {
     for (const auto& [id, newcomer] : std::exchange(newcomers_, {}))
-        guarded([&] { newcomer.answer(answers.at(id)); });
+        guarded([&] { newcomer.done(replies.at(id)); });
 }
 
 void Forwarder::carry_out(const Send& send, const Recorded& recorded) {
@@ -306,11 +300,11 @@
         return observe(event);
     }
     const Message& message = journal_.find(send.message)->message;
-    targets_.start({send.message, send.endpoint, recorded.attempt, message.destination, message.key,
+    delivery_->start({send.message, send.endpoint, recorded.attempt, message.destination, message.key,
         message.body, send.time_out});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel, const Recorded&) {
-    targets_.cancel(cancel.message, cancel.attempt);
+    delivery_->cancel(cancel.message, cancel.attempt);
 }
 void Forwarder::carry_out(const Refuse& refuse, const Recorded& recorded) {
     if (recorded.kept)
@@ -326,7 +320,7 @@
         if (!cancelled) observe(TimerFired{});
     });
 }
-void Forwarder::carry_out(const CloseIdle& close, const Recorded&) { targets_.close_idle(close.endpoint); }
+void Forwarder::carry_out(const CloseIdle& close, const Recorded&) { delivery_->close_idle(close.endpoint); }
 void Forwarder::carry_out(const Forget& forget, const Recorded&) { directory_.forget(forget.endpoint); }
 void Forwarder::carry_out(const TellPeers& tell, const Recorded&) { peers_.tell(tell.to, tell.bytes); }
 void Forwarder::carry_out(const Log& log, const Recorded&) { std::cerr << log.text << '\n'; }
@@ -346,7 +340,7 @@
     if (std::exchange(draining_, true)) return;
     // What the last of them still hand in has a second to be delivered.
     const admission::HandOver plan({}, config_.settings.n_instances - 1);
-    clients_.hand_on(plan);
+    front_->hand_on(plan);
     drain_step_.expires_after(plan.limits().end + kDrainCheck);
     drain_step_.async_wait([this](auto) { stop_if_done(); });
     drain_end_.expires_after(kDrainFor);
@@ -355,7 +349,7 @@
 
 /// With nothing owed and no client left, there is nothing to wait for.
 void Forwarder::stop_if_done() {
-    if (draining_ && drain_step_.expiry() <= std::chrono::steady_clock::now() && clients_.empty() &&
+    if (draining_ && drain_step_.expiry() <= std::chrono::steady_clock::now() && front_->empty() &&
         journal_.entries().empty())
         stop();
 }
--- a/src/net/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -6,20 +6,27 @@
 #include <string>
 #include <vector>
 
-#include "clients.hpp"
-#include "config.hpp"
-#include "journal.hpp"
+#include "config/config.hpp"
+#include "core/delivery.hpp"
+#include "core/front.hpp"
 #include "membership/directory.hpp"
 #include "membership/discovery.hpp"
-#include "peers.hpp"
-#include "targets.hpp"
+#include "membership/peers.hpp"
+#include "store/journal.hpp"
 
 namespace lockgw {
 
-class Forwarder {
+/// The protocols that a forwarder speaks.
+struct Protocols {
+    MakeFront front;
+    MakeDelivery delivery;
+};
+
+class Forwarder final : Intake {
 public:
     /// Takes up what the journal holds. Throws where the folder or an address cannot be used.
-    Forwarder(asio::io_context& io, Config config);
+    Forwarder(asio::io_context& io, Config config, const Protocols& protocols);
+    ~Forwarder();
 
     void start();
     /// Takes over what may change while it runs: the address of discovery. Throws where `fresh` makes no
@@ -31,18 +38,20 @@
 private:
     struct Newcomer {
         Message message;
-        Clients::Answer answer;
+        Done done;
     };
 
     void take_up();
     void list(const View::Update& update);
     bool may_have(const Call& call, const Tcp::endpoint& address) const;
-    void enqueue(Message message, cometspoke::Time left, Clients::Answer answer);
+    void hand_in(Message message, cometspoke::Time left, Done done) override;
+    bool give_descriptor() override { return delivery_->close_one(); }
     void outcome(const cometspoke::OutcomeEvent& event);
     void observe(const cometspoke::Event& event);
     void turn();
     void decide_and_act();
-    void answer_newcomers(const std::map<MessageId, std::string>& answers);
+    using Replies = std::map<MessageId, Reply>;
+    void answer_newcomers(const Replies& replies);
     struct Recorded {
         bool kept = false;
         std::uint32_t attempt = 0;  ///< of a Send
@@ -51,9 +60,9 @@
     Recorded record(const cometspoke::Action& action);
     Recorded record(const cometspoke::Send& send);
     Recorded record_end(MessageId id, const Notice& notice);
-    std::map<MessageId, std::string> take_on(const std::vector<cometspoke::Action>& actions);
-    void take_back(std::map<MessageId, std::string>& answers, const std::vector<cometspoke::Action>& actions,
-        std::vector<Recorded>& recorded);
+    Replies take_on(const std::vector<cometspoke::Action>& actions);
+    void take_back(
+        Replies& replies, const std::vector<cometspoke::Action>& actions, std::vector<Recorded>& recorded);
     template <class Step>
     void guarded(Step step);
     void stop_if_done();
@@ -78,10 +87,10 @@
     Journal journal_;
     cometspoke::Sender sender_;
     Directory directory_;
-    Targets targets_;
+    std::unique_ptr<Delivery> delivery_;
     Discovery discovery_;
     Peers peers_;
-    Clients clients_;
+    std::unique_ptr<Front> front_;
     asio::steady_timer timer_, drain_step_, drain_end_;
     bool turn_due_ = false, draining_ = false;
     std::chrono::steady_clock::duration longest_turn_{};  // told at the end
--- /dev/null
+++ b/src/core/front.hpp
@@ -0,0 +1,70 @@
+/// What a protocol for clients is to the core: it hands messages in, and gets one reply for each.
+///
+/// A front owns its listener and its connections, keeps to its share of the descriptors, and decides nothing
+/// of a message. A second protocol is another folder under src/fronts. Threads: the loop's. The core outlives
+/// its fronts.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "admission/hand_over.hpp"
+#include "config/config.hpp"
+#include "store/journal.hpp"
+
+namespace lockgw {
+
+/// What the client hears of one hand-in.
+struct Reply {
+    enum class Kind {
+        Taken,     ///< from now on the forwarder owes the message its end
+        Busy,      ///< refused: it may come again, after `wait` where that is not 0
+        Rejected,  ///< it makes no sense, or is out of time: `why`, in one line
+    };
+    Kind kind = Kind::Taken;
+    std::chrono::milliseconds wait{0};
+    std::string why;
+
+    static Reply taken() { return {}; }
+    static Reply busy(std::chrono::milliseconds wait) { return {Kind::Busy, wait, {}}; }
+    static Reply rejected(std::string why) { return {Kind::Rejected, {}, std::move(why)}; }
+};
+
+/// The core, as a front sees it.
+class Intake {
+public:
+    using Done = std::function<void(const Reply&)>;
+
+    /// `done` is called once, in this call or later.
+    virtual void hand_in(Message message, cometspoke::Time left, Done done) = 0;
+    /// Gives a descriptor of somebody else back, where one is needed at the door; false where there is none.
+    virtual bool give_descriptor() = 0;
+
+protected:
+    ~Intake() = default;
+};
+
+class Front {
+public:
+    virtual ~Front() = default;
+
+    /// Throws where its address cannot be had.
+    virtual void listen() = 0;
+    /// Hands on those that rest, as many at a time as the others take, then as drain(). Begins at once to
+    /// count the time that `plan` has.
+    virtual void hand_on(const admission::HandOver& plan) = 0;
+    /// No new connections; those there are close between requests.
+    virtual void drain() = 0;
+    /// Nobody is connected any more.
+    virtual bool empty() const = 0;
+    /// For people and programs: counters by name.
+    virtual Json status() const = 0;
+};
+
+/// Makes a front that may hold so many descriptors.
+using MakeFront = std::function<std::unique_ptr<Front>(
+    asio::io_context&, const Config&, std::size_t most_connections, Intake&)>;
+
+}  // namespace lockgw
--- a/src/net/answer.cpp
+++ b/src/deliveries/http/answer.cpp
@@ -1,4 +1,4 @@
-#include "answer.hpp"
+#include "deliveries/http/answer.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
--- a/src/net/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -1,4 +1,4 @@
-#include "targets.hpp"
+#include "deliveries/http/targets.hpp"
 
 #include <sys/socket.h>
 
@@ -9,8 +9,8 @@
 #include <optional>
 #include <utility>
 
-#include "answer.hpp"
 #include "base/spare_descriptor.hpp"
+#include "deliveries/http/answer.hpp"
 
 namespace lockgw {
 
--- a/src/net/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -17,22 +17,10 @@
 #include <string>
 #include <vector>
 
-#include "config.hpp"
+#include "core/delivery.hpp"
 
 namespace lockgw {
 
-using cometspoke::EndpointId;
-using cometspoke::MessageId;
-
-struct Call {
-    MessageId message = 0;
-    EndpointId endpoint = 0;
-    std::uint32_t attempt = 0;
-    std::int64_t destination = 0;
-    std::string key, body;
-    cometspoke::Time time_out{0};
-};
-
 class TargetConnection;
 using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
 EndpointId endpoint_of(const TargetConnectionPtr& connection);
@@ -69,29 +57,19 @@
     All all_;
 };
 
-class Targets {
+class Targets final : public Delivery {
 public:
-    using Done = std::function<void(cometspoke::OutcomeEvent)>;
-    /// The send gate: whether the process at this address may still have the call. Asked once a call, right
-    /// before its first byte is written; where it says no the outcome is NotSent, proven never to have run.
-    using May = std::function<bool(const Call&, const Tcp::endpoint&)>;
-
     Targets(asio::io_context& io, const Config& config, std::size_t most_connections, May may, Done done);
-    ~Targets();
-
-    void set_address(EndpointId endpoint, const Tcp::endpoint& address);
-    /// Nothing new goes there; calls that are out are waited for.
-    void forget(EndpointId endpoint);
-    /// It may have nothing new for now: idle connections are closed, and calls whose connection is still
-    /// being made end as NotSent. Calls that are out are waited for.
-    void withdraw(EndpointId endpoint);
-    /// Its outcome comes by Done, never from within this call.
-    void start(Call call);
-    /// Its outcome comes at once.
-    void cancel(MessageId message, std::uint32_t attempt);
-    void close_idle(EndpointId endpoint);
-    /// One that carries nothing new, for its descriptor; false where there is none.
-    bool close_one();
+    ~Targets() override;
+
+    void set_address(EndpointId endpoint, const Tcp::endpoint& address) override;
+    void forget(EndpointId endpoint) override;
+    void withdraw(EndpointId endpoint) override;
+    void start(Call call) override;
+    void cancel(MessageId message, std::uint32_t attempt) override;
+    void close_idle(EndpointId endpoint) override;
+    bool close_one() override;
+    std::size_t calls() const override { return calls_.size(); }
 
 private:
     friend class TargetConnection;
--- a/src/net/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -1,4 +1,4 @@
-#include "clients.hpp"
+#include "fronts/resp2/clients.hpp"
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
@@ -54,17 +54,26 @@
 }
 
 std::string busy(std::chrono::milliseconds wait) {
-    return resp::error("BUSY " + std::to_string(wait.count()));
+    return resp::error(wait.count() > 0 ? "BUSY " + std::to_string(wait.count()) : "BUSY");
+}
+std::string text_of(const Reply& reply) {
+    switch (reply.kind) {
+        case Reply::Kind::Taken:
+            return resp::simple("OK");
+        case Reply::Kind::Busy:
+            return busy(reply.wait);
+        case Reply::Kind::Rejected:
+            break;
+    }
+    return resp::error("ERR " + reply.why);
 }
 
 }  // namespace
 
-Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Enqueue enqueue,
-    GiveDescriptor give_descriptor)
+Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Intake& intake)
     : io_(io),
       config_(config),
-      enqueue_(std::move(enqueue)),
-      give_descriptor_(std::move(give_descriptor)),
+      intake_(intake),
       door_(limits_of(most_connections)),
       overload_({}),
       waiting_(most_connections),
@@ -134,7 +143,7 @@
     if (const auto farewell = door_.hand_on())
         send_away(*farewell);
     else
-        give_descriptor_();
+        intake_.give_descriptor();
     if (std::exchange(pausing_, true)) return;
     pause_.expires_after(kAcceptPause);
     pause_.async_wait([this](auto cancelled) {
@@ -332,13 +341,25 @@
 
 void Clients::hand_in(Request request) {
     ++counters_.served;
-    enqueue_(
-        std::move(request.message), request.left, [session = std::move(request.session)](std::string text) {
-            const bool useful = text.front() == '+' || text.compare(0, 5, "-BUSY") == 0;
-            session->answer(std::move(text), useful);
+    intake_.hand_in(
+        std::move(request.message), request.left, [session = std::move(request.session)](const Reply& reply) {
+            session->answer(text_of(reply), reply.kind != Reply::Kind::Rejected);
         });
 }
 
+Json Clients::status() const {
+    Json connections = Json::object();
+    for (std::size_t i = 0; i < admission::kClasses; ++i)
+        connections[admission::text_of(static_cast<Class>(i))] = door_.count(static_cast<Class>(i));
+    return {{"front", "resp2"}, {"listen", address_text(config_.listen)}, {"connections", door_.count()},
+        {"by_class", connections}, {"accepted", counters_.accepted},
+        {"accept_failed", counters_.accept_failed}, {"handed_in", counters_.served},
+        {"refused_after_a_wait", counters_.refused}, {"given_up_by_clients", counters_.gone},
+        {"for_want_of_memory", counters_.too_much}, {"overloaded", overload_.overloaded()},
+        {"held_bytes", memory_.held()},
+        {"grace_ms", std::chrono::duration<double, std::milli>(door_.grace()).count()}};
+}
+
 // ---- the end ----
 
 void Clients::hand_on(const admission::HandOver& plan) {
--- a/src/net/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -21,11 +21,10 @@
 #include "admission/memory.hpp"
 #include "admission/overload.hpp"
 #include "admission/read_turns.hpp"
-#include "config.hpp"
-#include "enqueue.hpp"
-#include "journal.hpp"
-#include "resp.hpp"
-#include "session.hpp"
+#include "core/front.hpp"
+#include "fronts/resp2/enqueue.hpp"
+#include "fronts/resp2/resp.hpp"
+#include "fronts/resp2/session.hpp"
 
 namespace lockgw {
 
@@ -39,26 +38,16 @@
     std::array<std::uint64_t, admission::kClasses> for_room{}, timed_out{};
 };
 
-class Clients {
+class Clients final : public Front {
 public:
-    using Answer = std::function<void(std::string)>;
-    /// Called for each sound ENQUEUE; answers it once, in this call or later.
-    using Enqueue = std::function<void(Message, cometspoke::Time left, Answer)>;
+    Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Intake& intake);
+    ~Clients() override;
 
-    /// Gives a descriptor of somebody else back, where one is needed at the door; false where there is none.
-    using GiveDescriptor = std::function<bool()>;
-
-    Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Enqueue enqueue,
-        GiveDescriptor give_descriptor);
-    ~Clients();
-
-    void listen();
-    /// Hands on those that rest, as many at a time as the others take, then as drain(). Begins at once to
-    /// count the time that `plan` has.
-    void hand_on(const admission::HandOver& plan);
-    /// No new connections; those there are close between requests.
-    void drain();
-    bool empty() const { return door_.count() == 0; }
+    void listen() override;
+    void hand_on(const admission::HandOver& plan) override;
+    void drain() override;
+    bool empty() const override { return door_.count() == 0; }
+    Json status() const override;
     const DoorCounters& counters() const { return counters_; }
 
 private:
@@ -98,8 +87,7 @@
 
     asio::io_context& io_;
     const Config& config_;
-    Enqueue enqueue_;
-    GiveDescriptor give_descriptor_;
+    Intake& intake_;
     admission::Door door_;
     admission::Overload overload_;
     admission::FairQueue<Request> waiting_;
--- a/src/net/enqueue.cpp
+++ b/src/fronts/resp2/enqueue.cpp
@@ -1,4 +1,4 @@
-#include "enqueue.hpp"
+#include "fronts/resp2/enqueue.hpp"
 
 #include <charconv>
 #include <map>
--- a/src/net/enqueue.hpp
+++ b/src/fronts/resp2/enqueue.hpp
@@ -1,9 +1,9 @@
 /// The platform's ENQUEUE as a message.
 #pragma once
 
-#include "config.hpp"
-#include "journal.hpp"
-#include "resp.hpp"
+#include "config/config.hpp"
+#include "fronts/resp2/resp.hpp"
+#include "store/journal.hpp"
 
 namespace lockgw {
 
--- a/src/net/resp.cpp
+++ b/src/fronts/resp2/resp.cpp
@@ -1,4 +1,4 @@
-#include "resp.hpp"
+#include "fronts/resp2/resp.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -1,4 +1,4 @@
-#include "session.hpp"
+#include "fronts/resp2/session.hpp"
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <utility>
 
-#include "clients.hpp"
+#include "fronts/resp2/clients.hpp"
 
 namespace lockgw {
 
--- a/src/net/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -8,8 +8,8 @@
 
 #include "admission/door.hpp"
 #include "admission/read_turns.hpp"
-#include "config.hpp"
-#include "resp.hpp"
+#include "config/config.hpp"
+#include "fronts/resp2/resp.hpp"
 
 namespace lockgw {
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -1,6 +1,6 @@
 #include "membership/member.hpp"
 
-#include "base/address.hpp"
+#include "config/address.hpp"
 
 namespace lockgw {
 
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "cometspoke/sender.hpp"
-#include "settings.hpp"
+#include "config/settings.hpp"
 
 namespace lockgw {
 
--- a/src/net/peers.cpp
+++ b/src/membership/peers.cpp
@@ -1,4 +1,4 @@
-#include "peers.hpp"
+#include "membership/peers.hpp"
 
 #include <algorithm>
 #include <iostream>
--- a/src/net/peers.hpp
+++ b/src/membership/peers.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "config.hpp"
+#include "config/config.hpp"
 
 namespace lockgw {
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -6,7 +6,7 @@
 // events.
 #include <stdexcept>
 
-#include "checked_settings.hpp"
+#include "base/checked_settings.hpp"
 #include "policy/turns.hpp"
 
 namespace cometspoke {
--- a/src/main.cpp
+++ b/src/program/main.cpp
@@ -5,7 +5,9 @@
 #include <csignal>
 #include <iostream>
 
-#include "net/forwarder.hpp"
+#include "core/forwarder.hpp"
+#include "deliveries/http/targets.hpp"
+#include "fronts/resp2/clients.hpp"
 
 namespace {
 
@@ -31,6 +33,16 @@
     });
 }
 
+lockgw::Protocols protocols() {
+    using namespace lockgw;
+    return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
+                return std::make_unique<Clients>(io, config, most, intake);
+            },
+        [](auto& io, const Config& config, std::size_t most, Delivery::May may, Delivery::Done done) {
+            return std::make_unique<Targets>(io, config, most, std::move(may), std::move(done));
+        }};
+}
+
 /// A signal that comes while all is being taken down must not turn a good end into a crash.
 void block_signals() {
     sigset_t all;
@@ -54,7 +66,7 @@
     boost::asio::io_context io(1);
     // first: a SIGHUP during the start must not end the process either
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    lockgw::Forwarder forwarder(io, lockgw::config_of_environment());
+    lockgw::Forwarder forwarder(io, lockgw::config_of_environment(), protocols());
     heed(signals, forwarder);
     forwarder.start();
     run(io);
--- a/src/drill.cpp
+++ b/src/simulator/drill.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "wire.hpp"
+#include "simulator/wire.hpp"
 
 int main() {
     std::ios::sync_with_stdio(false);
--- a/src/wire.hpp
+++ b/src/simulator/wire.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cometspoke/sender.hpp"
-#include "settings.hpp"
+#include "config/settings.hpp"
 
 namespace cometspoke::wire {
 
--- a/src/net/journal.cpp
+++ b/src/store/journal.cpp
@@ -1,4 +1,4 @@
-#include "journal.hpp"
+#include "store/journal.hpp"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/tests/answer_test.cpp
+++ b/tests/answer_test.cpp
@@ -1,4 +1,4 @@
-#include "net/answer.hpp"
+#include "deliveries/http/answer.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,8 +1,8 @@
-#include "net/config.hpp"
+#include "config/config.hpp"
 
 #include <gtest/gtest.h>
 
-#include "net/clients.hpp"
+#include "fronts/resp2/clients.hpp"
 #include "net_helpers.hpp"
 
 namespace lockgw {
--- a/tests/fuzz/resp_fuzz.cpp
+++ b/tests/fuzz/resp_fuzz.cpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "net/resp.hpp"
+#include "fronts/resp2/resp.hpp"
 
 using namespace lockgw;
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -1,4 +1,4 @@
-#include "net/journal.hpp"
+#include "store/journal.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -31,7 +31,7 @@
 #include <thread>
 #include <vector>
 
-#include "net/config.hpp"
+#include "config/config.hpp"
 #include "rig/node.hpp"
 
 namespace lockgw {
--- a/tests/node_fixture.hpp
+++ b/tests/node_fixture.hpp
@@ -3,8 +3,8 @@
 
 #include <sstream>
 
-#include "net/journal.hpp"
 #include "net_helpers.hpp"
+#include "store/journal.hpp"
 
 namespace lockgw {
 
--- a/tests/resp_test.cpp
+++ b/tests/resp_test.cpp
@@ -1,4 +1,4 @@
-#include "net/resp.hpp"
+#include "fronts/resp2/resp.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -1,5 +1,5 @@
 // Targets that answer with noise, too much or without end, and targets that come and go.
-#include "net/targets.hpp"
+#include "deliveries/http/targets.hpp"
 #include "node_fixture.hpp"
 
 namespace lockgw {
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -6,7 +6,7 @@
 
 #include <random>
 
-#include "base/address.hpp"
+#include "config/address.hpp"
 
 namespace lockgw {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simulator/wire.hpp"
 
 #include <gtest/gtest.h>
 
