--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -42,7 +42,7 @@
             targets_[member.at("cell").get<std::int64_t>()].address =
                 tcp_endpoint(member.at("host_port").get<std::string>(), "host_port");
         watch_ = std::make_unique<Line>(io_);
-        watch_->socket.connect(config_.discovery);
+        watch_->socket.connect(config_.discovery.value());
         http::request<http::empty_body> request{http::verb::get,
             "/v1/servers?from=" + std::to_string(list.at("revision").get<std::int64_t>()) + "&hold_ms=60000",
             11};
@@ -63,7 +63,7 @@
 
     std::string ask(const std::string& path) {
         Line line(io_);
-        line.socket.connect(config_.discovery);
+        line.socket.connect(config_.discovery.value());
         http::request<http::empty_body> request{http::verb::get, path, 11};
         http::response<http::string_body> answer;
         http::write(line.socket, request);
--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -21,6 +21,7 @@
 using MessageId = std::uint64_t;
 using EndpointId = std::uint32_t;
 using DestinationId = std::int64_t;
+using RouteId = std::uint32_t;  ///< 0: any endpoint of the destination
 
 /// What a repeat of a message may do: nothing bad, nothing within a window, or take effect twice.
 enum class Effect { Retryable, Dedup, Fragile };
@@ -108,6 +109,7 @@
         std::optional<EndpointId> endpoint{};  ///< where it went, if that is still known
     };
     std::optional<Doubt> doubt{};
+    RouteId route = 0;  ///< which endpoints it may go to: of the latest RoutesEvent
 };
 /// The response of a streamed message has begun: the attempt belongs to the client from here on.
 struct StreamStarted {
@@ -140,6 +142,16 @@
     Time wait{0};  ///< for TurnedAway: the told wait, 0 if none
     std::optional<LoadReport> report;
 };
+/// Which endpoints each route allows, from route 1 on; in the place of all that was told before. A route
+/// narrows the endpoints of a message's own destination and changes nothing else.
+struct RoutesEvent {
+    std::vector<std::vector<EndpointId>> only;
+};
+/// A held message goes by another route from now on; attempts that are out go on.
+struct RerouteEvent {
+    MessageId message = 0;
+    RouteId route = 0;
+};
 struct AbandonedEvent {
     MessageId message = 0;
 };
@@ -155,7 +167,7 @@
     std::string bytes;
 };
 using Event = std::variant<ListEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent, TimerFired,
-    ProbeResult, PeerNote>;
+    ProbeResult, PeerNote, RoutesEvent, RerouteEvent>;
 
 // ---- actions ----
 
--- a/rig/node.cpp
+++ b/rig/node.cpp
@@ -108,8 +108,11 @@
     pid_ = fork();
     if (pid_ != 0) return;
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that crashes leaves nothing behind
-    setenv("NODE_CONFIG", path.c_str(), 1);
-    setenv("NODE_STATE", state().c_str(), 1);
+    if (!alone_) {
+        setenv("NODE_CONFIG", path.c_str(), 1);
+        setenv("NODE_STATE", state().c_str(), 1);
+    }
+    for (const auto& [name, value] : environment_) setenv(name.c_str(), value.c_str(), 1);
     const int log = ::open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(log, 1), dup2(log, 2);
     close_range(3, ~0u, 0);  // the test's own sockets
--- a/rig/node.hpp
+++ b/rig/node.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <filesystem>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -76,6 +77,11 @@
     int wait();
     /// The limit on descriptors that it is started with; 0: this process's own.
     void limit_descriptors(std::size_t most) { descriptors_ = most; }
+    /// Of the next start.
+    void set_environment(const std::string& name, const std::string& value) { environment_[name] = value; }
+    /// Without what the platform tells: the operator's file alone.
+    void alone() { alone_ = true; }
+    std::filesystem::path folder() const { return folder_.path(); }
 
     pid_t pid() const { return pid_; }
     const boost::asio::ip::tcp::endpoint& address() const { return address_; }
@@ -100,6 +106,8 @@
     std::string program_;
     boost::asio::ip::tcp::endpoint address_;
     std::size_t descriptors_ = 0;
+    bool alone_ = false;
+    std::map<std::string, std::string> environment_;
     pid_t pid_ = 0;
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -52,7 +52,8 @@
     return value;
 }
 
-/// What is told may be more than this process is let have.
+}  // namespace
+
 std::size_t within_own_limit(std::size_t sockets) {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return sockets;
@@ -61,13 +62,13 @@
     return std::min<std::size_t>(sockets, limit.rlim_cur);
 }
 
-}  // namespace
-
 Config read_config(const Json& file) {
     Config config;
     config.name = value_or<std::string>(file, "name", "");
     config.listen = tcp_endpoint(field<std::string>(file, "listen"), "listen");
-    config.discovery = tcp_endpoint(field<std::string>(file, "discovery"), "discovery");
+    if (file.contains("discovery") || !file.contains("known"))
+        config.discovery = tcp_endpoint(field<std::string>(file, "discovery"), "discovery");
+    config.state = value_or<std::string>(file, "state", "");
     config.seed = seed_of(field<std::string>(file, "seed"));
     read_limits(need(file, "limits"), config);
     read_peers(file, config);
@@ -83,13 +84,16 @@
     return config;
 }
 
-Config config_of_environment() {
-    const std::string path = environment("NODE_CONFIG");
+Config config_of_file(const std::string& path) {
     std::ifstream stream(path);
     if (!stream) throw BadInput("NODE_CONFIG cannot be read: " + path);
     const Json file = Json::parse(stream);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
-    Config config = read_config(file);
+    return read_config(file);
+}
+
+Config config_of_environment() {
+    Config config = config_of_file(environment("NODE_CONFIG"));
     config.sockets = within_own_limit(config.sockets);
     config.state = environment("NODE_STATE");
     return config;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/address.hpp"
+#include "config/door_row.hpp"
 #include "config/settings.hpp"
 
 namespace lockgw {
@@ -22,7 +23,8 @@
 
 struct Config {
     std::string name;
-    Tcp::endpoint listen, discovery;
+    Tcp::endpoint listen;
+    std::optional<Tcp::endpoint> discovery;  ///< none: `known` is all that there is
     std::filesystem::path state;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;  ///< most descriptors of the process
@@ -34,11 +36,16 @@
     cometspoke::settings::Names names;
     cometspoke::Settings settings;
     std::chrono::milliseconds connect_timeout{1000};
+    config::DoorRow door;
     bool reports = false;  ///< answers may carry load reports
 };
 
 /// Throws std::exception with one plain line where something is missing or makes no sense.
 Config read_config(const Json& file);
+/// The file that NODE_CONFIG names, and NODE_STATE.
 Config config_of_environment();
+Config config_of_file(const std::string& path);
+/// What is told may be more than this process is let have.
+std::size_t within_own_limit(std::size_t sockets);
 
 }  // namespace lockgw
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <utility>
 
+#include "base/condition.hpp"
+
 namespace lockgw {
 
 using namespace cometspoke;
@@ -48,11 +50,12 @@
 
 }  // namespace
 
-Forwarder::Forwarder(asio::io_context& io, Config config, const Protocols& protocols)
+Forwarder::Forwarder(asio::io_context& io, Config config, const Protocols& protocols, routes::Table routes)
     : io_(io),
       config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
       sender_(config_.settings, config_.seed),
+      routes_(std::move(routes)),
       delivery_(protocols.delivery(
           io, config_, most_target_connections(config_),
           [this](const Call& call, const Tcp::endpoint& address) { return may_have(call, address); },
@@ -75,6 +78,7 @@
 Forwarder::~Forwarder() = default;
 
 void Forwarder::start() {
+    tell_routes();
     discovery_.take_known();
     take_up();
     peers_.start();
@@ -104,6 +108,7 @@
             tenant != config_.names.tenants.end())
             event.tenant = tenant->second;
         event.left = message.deadline - wall;
+        event.route = route_of(message);
         event.attempts = entry->attempts;
         if (const auto& first = entry->may_have_run())
             event.doubt = MessageEvent::Doubt{wall - first->since, directory_.number_of(first->target)};
@@ -114,6 +119,7 @@
 void Forwarder::list(const View::Update& update) {
     const TargetList& told = update.told;
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
+    if (told.complete) members_ = {};
     for (const EndpointId endpoint : gone) delivery_->forget(endpoint);
     ListEvent event;
     event.kind = !told.complete              ? ListKind::Changes
@@ -132,10 +138,15 @@
         if (target.condition == Condition::Ready) delivery_->set_address(*endpoint, target.address);
         if (target.condition == Condition::Draining) delivery_->withdraw(*endpoint);
         event.entries.push_back(entry);
+        if (target.condition == Condition::Gone)
+            members_.erase(target.id);
+        else
+            members_.put({target.id, target.destination, target.kind, target.zone, target.condition});
     }
     for (const std::string& id : update.restarted)  // connections to the process before it are dead
         if (const auto endpoint = directory_.find(id)) delivery_->close_idle(*endpoint);
     observe(event);
+    tell_routes();  // endpoints that they name may have got their numbers
 }
 
 /// The send gate: asked right before a call's first byte, on every path. A call may have been chosen before
@@ -167,8 +178,14 @@
             discovery_.view().whole() ? Reply::rejected("unknown destination") : Reply::busy(kRoomWait));
     if (journal_.unended() + newcomers_.size() >= config_.settings.most_held)
         return done(Reply::busy(kRoomWait));
+    const std::string& kind = kind_of(message.destination);
+    if (routes_.wrong_kind(message.message_class, message.destination, kind))
+        return done(Reply::rejected("this class does not go to a " + kind));
+    const RouteId route = route_of(message);
+    if (routes_.refuses(route)) return done(Reply::rejected("refused by " + routes_.rule_of(route)));
     MessageEvent event;
     event.message = id;
+    event.route = route;
     event.destination = message.destination;
     event.message_class = config_.names.classes.at(message.message_class);
     if (!message.tenant.empty()) event.tenant = config_.names.tenants.at(message.tenant);
@@ -331,9 +348,68 @@
     discovery_.report(id, notice);
 }
 
-void Forwarder::reload(const Config& fresh) {
+void Forwarder::reload(const Config& fresh, routes::Table routes) {
     const Sender checked(fresh.settings, fresh.seed);  // it knows best which settings make no sense
     discovery_.move_to(fresh.discovery);
+    routes_ = std::move(routes);
+    reroute_held();
+}
+
+/// The module knows endpoints by their numbers.
+void Forwarder::tell_routes() {
+    if (routes_.size() == 0) return;
+    RoutesEvent event;
+    for (RouteId route = 1; route <= routes_.size(); ++route) {
+        auto& only = event.only.emplace_back();
+        for (const std::string& id : routes_.only(route))
+            if (const auto endpoint = directory_.find(id)) only.push_back(*endpoint);
+    }
+    observe(event);
+}
+
+/// Who was taken on goes by the rules that are in force now; where these would refuse it, it was promised all
+/// the same, and goes to any endpoint of its destination.
+void Forwarder::reroute_held() {
+    observe(RoutesEvent{});
+    tell_routes();
+    for (const auto& [id, entry] : journal_.entries())
+        if (!entry.notice)
+            observe(RerouteEvent{id, routes_.refuses(route_of(entry.message)) ? 0 : route_of(entry.message)});
+}
+
+RouteId Forwarder::route_of(const Message& message) const {
+    return routes_.find(
+        message.message_class, message.tenant, message.destination, kind_of(message.destination));
+}
+const std::string& Forwarder::kind_of(std::int64_t destination) const {
+    static const std::string unknown;
+    const auto& listed = members_.of(destination);
+    return listed.empty() ? unknown : listed.front().kind;
+}
+
+routes::Resolution Forwarder::route(const routes::Query& query) const {
+    return routes_.resolve(query, members_.of(query.destination));
+}
+
+Json Forwarder::status() const {
+    const auto longest = std::chrono::duration<double, std::milli>(longest_turn_).count();
+    std::map<std::int64_t, std::size_t> held;
+    for (const auto& [id, entry] : journal_.entries())
+        if (!entry.notice) ++held[entry.message.destination];
+    Json destinations = Json::array();
+    for (const auto& [number, members] : members_.all()) {
+        Json endpoints = Json::array();
+        for (const auto& one : members)
+            endpoints.push_back(
+                {{"name", routes_.endpoint_name(one.id)}, {"id", one.id}, {"is", text_of(one.condition)}});
+        destinations.push_back({{"number", number}, {"name", routes_.name_of(number)},
+            {"held", held.contains(number) ? held.at(number) : 0}, {"endpoints", std::move(endpoints)}});
+    }
+    return {{"name", config_.name}, {"draining", draining_}, {"held", journal_.unended()},
+        {"unconfirmed_ends", journal_.entries().size() - journal_.unended()},
+        {"calls_out", delivery_->calls()}, {"slots", config_.settings.slots},
+        {"most_held", config_.settings.most_held}, {"longest_turn_ms", longest}, {"routes", routes_.size()},
+        {"fronts", Json::array({front_->status()})}, {"destinations", std::move(destinations)}};
 }
 
 void Forwarder::drain() {
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -12,6 +12,7 @@
 #include "membership/directory.hpp"
 #include "membership/discovery.hpp"
 #include "membership/peers.hpp"
+#include "routes/table.hpp"
 #include "store/journal.hpp"
 
 namespace lockgw {
@@ -22,16 +23,24 @@
     MakeDelivery delivery;
 };
 
+using cometspoke::RouteId;
+
 class Forwarder final : Intake {
 public:
     /// Takes up what the journal holds. Throws where the folder or an address cannot be used.
-    Forwarder(asio::io_context& io, Config config, const Protocols& protocols);
+    Forwarder(asio::io_context& io, Config config, const Protocols& protocols, routes::Table routes = {});
     ~Forwarder();
 
     void start();
-    /// Takes over what may change while it runs: the address of discovery. Throws where `fresh` makes no
-    /// sense.
-    void reload(const Config& fresh);
+    /// Takes over what may change while it runs: the address of discovery, and the routes. Throws where
+    /// `fresh` makes no sense; nothing has changed then.
+    void reload(const Config& fresh, routes::Table routes = {});
+    /// For people and programs; docs/operators/control.md.
+    Json status() const;
+    /// Whom the message of a class and tenant may go to now, by this process's own list.
+    routes::Resolution route(const routes::Query& query) const;
+    const routes::Table& routes() const { return routes_; }
+    const routes::Members& members() const { return members_; }
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void drain();
 
@@ -42,6 +51,10 @@
     };
 
     void take_up();
+    void tell_routes();
+    void reroute_held();
+    RouteId route_of(const Message& message) const;
+    const std::string& kind_of(std::int64_t destination) const;
     void list(const View::Update& update);
     bool may_have(const Call& call, const Tcp::endpoint& address) const;
     void hand_in(Message message, cometspoke::Time left, Done done) override;
@@ -87,6 +100,8 @@
     Journal journal_;
     cometspoke::Sender sender_;
     Directory directory_;
+    routes::Table routes_;
+    routes::Members members_;  // as listed, by destination
     std::unique_ptr<Delivery> delivery_;
     Discovery discovery_;
     Peers peers_;
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -32,9 +32,30 @@
 constexpr std::uint64_t kLeastQuantum = 18, kMostQuantum = 1800;  // a body of 64 KiB goes in one round
 constexpr admission::Owner kTenant = admission::Owner{1} << 40;   // tenants beside sources
 
-admission::DoorLimits limits_of(std::size_t most) {
+template <class Value, class Told>
+void take(Value& value, const std::optional<Told>& told) {
+    if (!told) return;
+    if constexpr (std::is_same_v<Told, std::int64_t>)
+        value = std::chrono::milliseconds(*told);
+    else
+        value = *told;
+}
+admission::DoorLimits limits_of(std::size_t most, const config::DoorRow& told) {
     admission::DoorLimits limits;
     limits.most = most;
+    take(limits.doorstep, told.doorstep), take(limits.unproved, told.unproved);
+    take(limits.owner_share, told.owner_share), take(limits.short_from, told.short_from);
+    take(limits.grace, told.grace_ms), take(limits.silent, told.silent_ms),
+        take(limits.partly, told.partly_ms);
+    take(limits.unread, told.unread_ms), take(limits.idle, told.idle_ms);
+    take(limits.idle_probed, told.idle_probed_ms), take(limits.idle_once, told.idle_once_ms);
+    take(limits.idle_regular, told.idle_regular_ms);
+    return limits;
+}
+admission::OverloadLimits overload_of(const config::DoorRow& told) {
+    admission::OverloadLimits limits;
+    take(limits.target, told.overload_target_ms), take(limits.patience, told.patience_ms);
+    take(limits.least_wait, told.least_wait_ms), take(limits.most_wait, told.most_wait_ms);
     return limits;
 }
 
@@ -74,8 +95,8 @@
     : io_(io),
       config_(config),
       intake_(intake),
-      door_(limits_of(most_connections)),
-      overload_({}),
+      door_(limits_of(most_connections, config.door)),
+      overload_(overload_of(config.door)),
       waiting_(most_connections),
       acceptor_(io),
       pause_(io),
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -1,5 +1,6 @@
 #include "membership/discovery.hpp"
 
+#include <boost/asio/post.hpp>
 #include <iostream>
 #include <utility>
 
@@ -37,7 +38,8 @@
 }  // namespace
 
 Discovery::Discovery(boost::asio::io_context& io, Settings settings, Told told, Confirmed confirmed)
-    : address_(settings.address),
+    : io_(io),
+      address_(settings.address),
       known_(std::move(settings.known)),
       told_(std::move(told)),
       confirmed_(std::move(confirmed)),
@@ -54,25 +56,27 @@
 
 void Discovery::take_known() try {
     const Json known = std::exchange(known_, nullptr);
-    tell(view_.known(list_of(known), Clock::now()));
+    const TargetList list = list_of(known);
+    tell(address_ ? view_.known(list, Clock::now()) : view_.answered({}, list, Clock::now()));
 } catch (const std::exception& bad) {
     std::cerr << "config: no known list: " << bad.what() << '\n';
 }
 
 void Discovery::start() {
+    if (!address_) return;
     watch_.want(true);
-    watch_.move_to(address_);
-    reports_.move_to(address_);
+    watch_.move_to(*address_);
+    reports_.move_to(*address_);
 }
 
-void Discovery::move_to(const Tcp::endpoint& address) {
-    if (address == address_) return;
+void Discovery::move_to(const std::optional<Tcp::endpoint>& address) {
+    if (address == address_ || !address || !address_) return;
     address_ = address;
     view_.new_agent();
     asked_.clear();
     posted_.clear();
-    watch_.move_to(address_);
-    reports_.move_to(address_);
+    watch_.move_to(*address_);
+    reports_.move_to(*address_);
 }
 
 Asker::Request Discovery::ask_list(std::uint64_t request) {
@@ -141,7 +145,14 @@
     std::cerr << '\n';
 }
 
+void Discovery::nobody_to_tell(MessageId id, const Notice& notice) {
+    std::cerr << "lockgw: " << cometspoke::settings::id_text(id) << " ended "
+              << (notice.bounced ? "bounced" : "dead") << '\n';
+    boost::asio::post(io_, [this, id] { confirmed_(id); });
+}
+
 void Discovery::report(MessageId id, const Notice& notice) {
+    if (!address_) return nobody_to_tell(id, notice);
     notices_.insert_or_assign(id, notice);
     reports_.want(true);
 }
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,7 +21,7 @@
 class Discovery {
 public:
     struct Settings {
-        Tcp::endpoint address;
+        std::optional<Tcp::endpoint> address;           ///< none: the known list is all that there is
         Json known;                                     ///< the list as last had, in discovery's form
         std::set<std::string> zones, kinds;             ///< the names that the settings know
         std::size_t most_list_bytes = kLeastListBytes;  ///< a longer answer is read as one that was cut off
@@ -38,13 +39,14 @@
     /// Another agent takes the place of the present one. It counts its own versions and has not seen what the
     /// old one did not confirm: the whole list is asked for, and every unconfirmed notice goes to it at once.
     /// Until it answers the last list stays in force.
-    void move_to(const Tcp::endpoint& address);
-    /// Posted until it is answered 204.
+    void move_to(const std::optional<Tcp::endpoint>& address);
+    /// Posted until it is answered 204. Without an agent it is logged, and counts as confirmed at once.
     void report(MessageId id, const Notice& notice);
 
     const View& view() const { return view_; }
 
 private:
+    void nobody_to_tell(MessageId id, const Notice& notice);
     Asker::Request ask_list(std::uint64_t request);
     bool list_over(std::uint64_t request, const AgentConnection::Answer& answer);
     void list_peek(std::uint64_t request, const AgentConnection::Answer& answer);
@@ -55,7 +57,8 @@
     Asker::Request post_notices(std::uint64_t request);
     bool post_over(std::uint64_t request, const AgentConnection::Answer& answer);
 
-    Tcp::endpoint address_;
+    boost::asio::io_context& io_;
+    std::optional<Tcp::endpoint> address_;
     Json known_;
     Told told_;
     Confirmed confirmed_;
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -41,6 +41,7 @@
     void take(const MessageEvent& event, Time now) {
         if (event.message_class >= settings_.classes.size()) throw std::invalid_argument("message_class");
         if (event.tenant && *event.tenant >= quota_tags_.size()) throw std::invalid_argument("tenant");
+        if (event.route > routes_.size()) throw std::invalid_argument("route");
         if (messages_.contains(event.message)) return;
         const ClassSettings& kind = settings_.classes[event.message_class];
         Message message;
@@ -50,6 +51,7 @@
         message.born = now + event.left - kind.deadline;
         message.deadline = now + event.left;
         message.over_share = event.tenant && over_quota(*event.tenant, now);
+        message.route = event.route;
         message.attempts = event.attempts;  // a restart changes nothing in what may have run
         if (event.doubt) {
             message.doubt_since = now - event.doubt->age;
@@ -98,6 +100,16 @@
         touch(endpoint.destination, now);
     }
     void take(const AbandonedEvent& event, Time now) { forget(event.message, now); }
+    void take(const RoutesEvent& event, Time now) {
+        routes_.clear();
+        for (const auto& only : event.only) routes_.emplace_back(only.begin(), only.end());
+        for (const auto& [id, destination] : active_) touch(id, now);
+    }
+    void take(const RerouteEvent& event, Time now) {
+        if (event.route > routes_.size()) throw std::invalid_argument("route");
+        if (const auto found = messages_.find(event.message); found != messages_.end())
+            found->second.route = event.route, changed(event.message, now);
+    }
     // A timer only brings a batch; a stream's outcome still comes; notes and probes are not used.
     template <class Other>
     void take(const Other&, Time) {}
@@ -125,25 +137,20 @@
     void list(const ListEntry& entry, Time now) {
         Endpoint& endpoint = endpoints_[entry.endpoint];
         name(endpoint, entry.destination);
-        if (entry.condition == Condition::Gone)
-            gone_.insert(entry.endpoint);
-        else
-            gone_.erase(entry.endpoint);
+        const bool gone = entry.condition == Condition::Gone;
+        gone ? void(gone_.insert(entry.endpoint)) : void(gone_.erase(entry.endpoint));
         if (endpoint.destination != entry.destination)  // moved, or new
             if (const auto before = destinations_.find(endpoint.destination); before != destinations_.end()) {
                 before->second.endpoints.erase(entry.endpoint);
                 touch(before->first, now);
             }
         endpoint.destination = entry.destination;
-        endpoint.home = &destinations_[entry.destination];
+        Destination& destination = *(endpoint.home = &destinations_[entry.destination]);
         endpoint.zone = entry.zone;
         endpoint.kind = entry.kind;
         endpoint.condition = entry.condition;
-        Destination& destination = destinations_[entry.destination];
-        if (entry.condition == Condition::Gone)
-            destination.endpoints.erase(entry.endpoint);
-        else
-            destination.endpoints.insert(entry.endpoint);
+        gone ? void(destination.endpoints.erase(entry.endpoint))
+             : void(destination.endpoints.insert(entry.endpoint));
         if (settings_.listed_rates) {
             if (entry.rate > 0) destination.weight = entry.rate;
             Route& route = apart(endpoint) ? endpoint.own : destination.shared;
--- a/src/policy/messages.hpp
+++ b/src/policy/messages.hpp
@@ -43,10 +43,9 @@
     void make_ready(MessageId id, Message& message, bool is_ready) {
         if (std::exchange(message.ready, is_ready) == is_ready) return;
         auto& ready = destinations_.at(message.destination).ready;
-        if (is_ready)
-            ready.put(message.message_class, message.arrival, message.born, id);
-        else
-            ready.take(message.message_class, message.arrival, message.born);
+        const std::size_t kind = message.message_class;
+        is_ready ? ready.put(kind, message.arrival, message.born, id)
+                 : ready.take(kind, message.arrival, message.born);
     }
     // Whose turn it is in a key's line, and from when on.
     void line_changed(std::uint64_t key, Time now) {
@@ -54,14 +53,11 @@
         if (found == keys_.end()) return rests_.erase(key), stale_lines_.erase(key);
         const KeyLine& line = found->second;
         const bool rests = line.rest_until > now;
-        if (line.turn.empty() && line.out == 0 && rests)
-            stale_lines_.set(key, line.rest_until);
-        else
-            stale_lines_.erase(key);
-        if (!line.turn.empty() && line.out == 0 && rests && line.rest_for != line.turn.front())
-            rests_.set(key, line.rest_until);
-        else
-            rests_.erase(key);
+        const bool stale = line.turn.empty() && line.out == 0 && rests;
+        stale ? stale_lines_.set(key, line.rest_until) : stale_lines_.erase(key);
+        const bool held_up =
+            !line.turn.empty() && line.out == 0 && rests && line.rest_for != line.turn.front();
+        held_up ? rests_.set(key, line.rest_until) : rests_.erase(key);
         if (!line.turn.empty()) changed(line.turn.front(), now);
     }
     void hold(DestinationId id, Destination& destination, MessageId message_id, const Message& message) {
@@ -153,17 +149,12 @@
         by_held_.erase({destination.held.size(), destination_id});
         destination.held.erase(message.arrival);
         --destination.held_of[message.message_class];
-        if (destination.held.empty())
-            deactivate(destination_id, destination);
-        else
-            by_held_.insert({destination.held.size(), destination_id});
+        const std::size_t held = destination.held.size();
+        held == 0 ? deactivate(destination_id, destination) : void(by_held_.insert({held, destination_id}));
         const auto key = message.key;
         if (key) {
             std::deque<MessageId>& turn = keys_.at(*key).turn;
-            if (turn.front() == id)
-                turn.pop_front();
-            else
-                std::erase(turn, id);
+            turn.front() == id ? turn.pop_front() : void(std::erase(turn, id));
             drop_line(*key, now);
         }
         messages_.erase(found);
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -147,7 +147,7 @@
     std::optional<std::uint64_t> key;
     Time born{0}, deadline{0}, not_before{kLongAgo};
     bool over_share = false;
-    std::uint32_t attempts = 0;
+    std::uint32_t attempts = 0, route = 0;
     int out = 0;
     std::optional<Time> doubt_since;  // sending of the first attempt that may have run
     std::optional<EndpointId> doubt_at;
@@ -265,10 +265,11 @@
     std::map<std::uint64_t, KeyLine> keys_;
     std::map<std::pair<MessageId, std::uint32_t>, Attempt> attempts_;
     std::map<std::uint64_t, Call> calls_;
-    std::vector<Time> quota_tags_;   // by tenant
-    std::vector<Time> unconnected_;  // by kind, the last connect that was refused
-    std::set<EndpointId> freed_;     // calls ended there in this batch
-    std::set<EndpointId> gone_;      // no longer listed, and not forgotten yet
+    std::vector<Time> quota_tags_;              // by tenant
+    std::vector<Time> unconnected_;             // by kind, the last connect that was refused
+    std::set<EndpointId> freed_;                // calls ended there in this batch
+    std::vector<std::set<EndpointId>> routes_;  // endpoints that each allows, from route 1 on
+    std::set<EndpointId> gone_;                 // no longer listed, and not forgotten yet
     std::vector<Action> actions_;
     std::uint64_t arrivals_ = 0, call_count_ = 0;
     double overall_usual_ = 0.0;
--- a/src/policy/turns.hpp
+++ b/src/policy/turns.hpp
@@ -182,6 +182,7 @@
     bool may_go(const Message& message, EndpointId to) const {
         const ClassSettings& kind = settings_.classes[message.message_class];
         const Endpoint& endpoint = endpoints_.at(to);
+        if (message.route - 1 < routes_.size() && !routes_[message.route - 1].contains(to)) return false;
         if (kind.effect == Effect::Fragile &&
             (endpoint.failing > kFragileBar || endpoint.health == Health::Sick))
             return false;
--- /dev/null
+++ b/src/program/ask.cpp
@@ -0,0 +1,80 @@
+/// Commands that ask a running process over its control socket.
+#include <iomanip>
+#include <iostream>
+
+#include "control/client.hpp"
+#include "program/commands.hpp"
+#include "program/rows.hpp"
+
+namespace lockgw::program {
+namespace {
+
+template <class Use>
+int asked(const std::string& socket, const char* verb, Use use) try {
+    use(control::ask(socket, verb));
+    return kWell;
+} catch (const control::Refused& refused) {
+    std::cerr << "lockgw: " << refused.what() << '\n' << refused.problems() << '\n';
+    return kWrong;
+} catch (const std::exception& bad) {
+    std::cerr << "lockgw: " << bad.what() << '\n';
+    return kWrong;
+}
+
+void print_table(const Json& status) {
+    const auto line = [](const char* name, const Json& value) {
+        std::cout << std::left << std::setw(22) << name
+                  << (value.is_string() ? value.get<std::string>() : value.dump()) << '\n';
+    };
+    line("name", status.at("name"));
+    line("file", status.at("file"));
+    line("held", status.at("held").dump() + " of " + status.at("most_held").dump());
+    line("calls out", status.at("calls_out").dump() + " of " + status.at("slots").dump());
+    line("ends not confirmed", status.at("unconfirmed_ends"));
+    line("routes, expectations", status.at("routes").dump() + ", " + status.at("expectations").dump());
+    line("reloads", status.at("reloads"));
+    line("longest turn, ms", status.at("longest_turn_ms"));
+    for (const Json& front : status.at("fronts"))
+        line("clients", front.at("connections").dump() + " at " + front.at("listen").get<std::string>() +
+                            ", " + front.at("handed_in").dump() + " messages handed in");
+    std::cout << '\n'
+              << std::left << std::setw(32) << "destination" << std::setw(8) << "held"
+              << "endpoints\n";
+    for (const Json& one : status.at("destinations")) {
+        std::cout << std::left << std::setw(32) << one.at("name").get<std::string>() << std::setw(8)
+                  << one.at("held").dump();
+        for (const Json& endpoint : one.at("endpoints"))
+            std::cout << endpoint.at("name").get<std::string>() << " ("
+                      << endpoint.at("is").get<std::string>() << ") ";
+        std::cout << '\n';
+    }
+}
+
+}  // namespace
+
+int print_status(const std::string& socket, bool json) {
+    return asked(socket, "status", [json](const Json& status) {
+        if (json)
+            std::cout << status.dump(2) << '\n';
+        else
+            print_table(status);
+    });
+}
+
+int print_running_routes(const std::string& socket, bool json) {
+    return asked(socket, "routes", [json](const Json& rows) {
+        if (json)
+            std::cout << rows.dump(2) << '\n';
+        else
+            print(std::cout, rows_from(rows));
+    });
+}
+
+int reload_running(const std::string& socket) {
+    return asked(socket, "reload", [](const Json& told) {
+        std::cout << "taken over: " << told.at("routes") << " routes, " << told.at("expectations")
+                  << " expectations kept\n";
+    });
+}
+
+}  // namespace lockgw::program
--- /dev/null
+++ b/src/program/load.hpp
@@ -0,0 +1,39 @@
+/// The configuration in force, or why there is none: NODE_CONFIG and the operator's file, read and checked
+/// whole.
+///
+/// `lockgw check`, the start and each reload go through this one function.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "config/config.hpp"
+#include "config/operator_file.hpp"
+#include "routes/expectations.hpp"
+
+namespace lockgw::program {
+
+struct Sources {
+    std::string operator_file;  ///< empty: none
+    std::string node_config;    ///< empty: none
+    std::string state;          ///< the folder that lasts, where neither tells it
+    std::string members;        ///< a list in discovery's form in place of the known one; empty: none
+};
+
+struct Loaded {
+    Config config;
+    config::OperatorFile file;
+    routes::Known known;
+    routes::Table table;
+    routes::Members members;
+    routes::Scene scene() const { return {file, table, known, members}; }
+};
+
+/// None where there is any problem. `progress`: see routes::run_expectations.
+std::optional<Loaded> load(const Sources& sources, config::Problems& problems,
+    const std::function<void(std::size_t, std::size_t)>& progress = {});
+/// What of `fresh` cannot be taken over by a running process; each becomes a problem.
+void check_running(const Loaded& running, const Loaded& fresh, config::Problems& problems);
+
+}  // namespace lockgw::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,78 +1,88 @@
-/// lockgw: one real forwarder. Wiring and signals, nothing else.
-#include <pthread.h>
-
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
+/// lockgw: the command line. docs/operators/commands.md.
+///
+/// Exit codes: 0 well, 1 the file (or what it was to do) is wrong, 2 wrong usage.
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <filesystem>
 #include <iostream>
 
-#include "core/forwarder.hpp"
-#include "deliveries/http/targets.hpp"
-#include "fronts/resp2/clients.hpp"
+#include "program/commands.hpp"
 
 namespace {
 
-std::string plain(std::string what) {
-    for (char& letter : what)
-        if (letter == '\n') letter = ' ';
-    return what;
+std::string environment(const char* name) {
+    const char* value = std::getenv(name);
+    return value == nullptr ? "" : value;
 }
 
-/// A bad file must not take a good process down: the configuration that it has stays in force.
-void reload(lockgw::Forwarder& forwarder) try {
-    forwarder.reload(lockgw::config_of_environment());
-    std::cerr << "lockgw: configuration read anew" << std::endl;
-} catch (const std::exception& bad) {
-    std::cerr << "lockgw: the old configuration stays: " << plain(bad.what()) << std::endl;
-}
+}  // namespace
 
-void heed(boost::asio::signal_set& signals, lockgw::Forwarder& forwarder) {
-    signals.async_wait([&](auto failed, int signal) {
-        if (failed) return;
-        heed(signals, forwarder);
-        signal == SIGHUP ? reload(forwarder) : forwarder.drain();
-    });
-}
+int main(int count, char** words) {
+    using namespace lockgw::program;
+    CLI::App app(
+        "lockgw: takes messages from clients, keeps them, and delivers each to an endpoint of its "
+        "destination.");
+    app.require_subcommand(0, 1);
+    Sources sources;
+    sources.node_config = environment("NODE_CONFIG");
+    sources.operator_file = environment("LOCKGW_CONFIG");
+    sources.state = environment("NODE_STATE");
+    const auto common = [&sources](CLI::App* command) {
+        command->add_option("--node-config", sources.node_config, "the platform's file (or NODE_CONFIG)");
+        command->add_option("--members", sources.members, "a list of members in discovery's form")
+            ->check(CLI::ExistingFile);
+    };
 
-lockgw::Protocols protocols() {
-    using namespace lockgw;
-    return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
-                return std::make_unique<Clients>(io, config, most, intake);
-            },
-        [](auto& io, const Config& config, std::size_t most, Delivery::May may, Delivery::Done done) {
-            return std::make_unique<Targets>(io, config, most, std::move(may), std::move(done));
-        }};
-}
+    CLI::App* run = app.add_subcommand("run", "serve until SIGTERM; the default without a command");
+    run->add_option("--config", sources.operator_file, "the operator's file (or LOCKGW_CONFIG)");
+    run->add_option("--node-config", sources.node_config, "the platform's file (or NODE_CONFIG)");
+    run->add_option("--state", sources.state, "the folder that lasts (or NODE_STATE)");
 
-/// A signal that comes while all is being taken down must not turn a good end into a crash.
-void block_signals() {
-    sigset_t all;
-    sigfillset(&all);
-    pthread_sigmask(SIG_BLOCK, &all, nullptr);
-}
+    bool json = false;
+    std::string newer;
+    CLI::App* check =
+        app.add_subcommand("check", "read a file, check it and run its expectations, without any traffic");
+    check->add_option("FILE", sources.operator_file, "the operator's file")->required();
+    check->add_option("NEW", newer, "another one: say what would change, and which expectations break");
+    check->add_flag("--json", json, "for programs");
+    common(check);
 
-/// A fault in one handler must not take what the others hold with it.
-void run(boost::asio::io_context& io) {
-    while (!io.stopped()) try {
-            io.run();
-        } catch (const std::exception& fault) {
-            std::cerr << "lockgw: " << fault.what() << '\n';
-        }
-}
+    CLI::App* routes = app.add_subcommand("routes", "print the table of routes as it would be in force");
+    bool running = false;
+    std::string socket;
+    routes->add_option("FILE", sources.operator_file, "the operator's file");
+    routes->add_flag("--running", running, "those in force in the running process");
+    routes->add_flag("--json", json, "for programs");
+    common(routes);
 
-}  // namespace
+    CLI::App* status = app.add_subcommand("status", "what the running process holds and whom it knows");
+    status->add_flag("--json", json, "for programs");
+    CLI::App* reload = app.add_subcommand("reload", "have the running process read its files anew");
+    for (CLI::App* command : {routes, status, reload}) {
+        command->add_option("--socket", socket, "its control socket");
+        command->add_option("--state", sources.state, "its folder that lasts (or NODE_STATE)");
+    }
+    run->add_option("--control", socket, "path of the control socket; by default in the folder that lasts");
+
+    CLI::App* version = app.add_subcommand("version", "print the version");
 
-int main() try {
-    std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more
-    boost::asio::io_context io(1);
-    // first: a SIGHUP during the start must not end the process either
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    lockgw::Forwarder forwarder(io, lockgw::config_of_environment(), protocols());
-    heed(signals, forwarder);
-    forwarder.start();
-    run(io);
-    block_signals();
-    return 0;
-} catch (const std::exception& bad) {
-    std::cerr << "lockgw: cannot start: " << plain(bad.what()) << std::endl;
-    return 1;
+    try {
+        app.parse(count, words);
+    } catch (const CLI::ParseError& wrong) {
+        return app.exit(wrong) == 0 ? kWell : kUsage;
+    }
+    if (version->parsed()) return print_version();
+    if (check->parsed())
+        return newer.empty() ? check_file(sources, json) : compare_files(sources, newer, json);
+    if (socket.empty() && !sources.state.empty() && !run->parsed())
+        socket = (std::filesystem::path(sources.state) / kSocketName).string();
+    if (status->parsed()) return print_status(socket, json);
+    if (reload->parsed()) return reload_running(socket);
+    if (routes->parsed() && running) return print_running_routes(socket, json);
+    if (routes->parsed() && sources.operator_file.empty()) {
+        std::cerr << "lockgw routes: name a FILE, or write --running\n";
+        return kUsage;
+    }
+    if (routes->parsed()) return print_routes(sources, json);
+    return serve(sources, run->parsed() ? socket : "");
 }
--- /dev/null
+++ b/src/program/serve.cpp
@@ -0,0 +1,146 @@
+/// `lockgw run`: wiring and signals, nothing else.
+#include <pthread.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "control/server.hpp"
+#include "core/forwarder.hpp"
+#include "deliveries/http/targets.hpp"
+#include "fronts/resp2/clients.hpp"
+#include "program/commands.hpp"
+#include "program/rows.hpp"
+
+namespace lockgw::program {
+namespace {
+
+std::string plain(std::string what) {
+    for (char& letter : what)
+        if (letter == '\n') letter = ' ';
+    return what;
+}
+
+Protocols protocols() {
+    return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
+                return std::make_unique<Clients>(io, config, most, intake);
+            },
+        [](auto& io, const Config& config, std::size_t most, Delivery::May may, Delivery::Done done) {
+            return std::make_unique<Targets>(io, config, most, std::move(may), std::move(done));
+        }};
+}
+
+/// Both files, read anew; throws with all problems, one line each.
+Loaded loaded(const Sources& sources, const Loaded* running) {
+    config::Problems problems(sources.operator_file.empty() ? "NODE_CONFIG" : sources.operator_file);
+    if (sources.node_config.empty() && sources.operator_file.empty())
+        throw std::runtime_error("NODE_CONFIG is not set, and there is no --config");
+    auto fresh = load(sources, problems);
+    if (fresh && fresh->config.state.empty())
+        throw std::runtime_error("NODE_STATE is not set, and there is no --state");
+    if (fresh && running != nullptr) check_running(*running, *fresh, problems);
+    if (problems.empty()) return std::move(*fresh);
+    std::string text = problems.text();
+    text.pop_back();
+    throw std::runtime_error(text);
+}
+
+class Service {
+public:
+    Service(const Sources& sources, const std::string& control)
+        : sources_(sources),
+          // first: a SIGHUP during the start must not end the process either
+          signals_(io_, SIGTERM, SIGINT, SIGHUP),
+          running_(loaded(sources, nullptr)),
+          forwarder_(io_, running_.config, protocols(), running_.table),
+          server_(io_, verbs_) {
+        verbs_.add("status", [this](const Json&) { return status(); });
+        verbs_.add("routes", [this](const Json&) {
+            return json_of(
+                routes::rows_of({running_.file, forwarder_.routes(), running_.known, forwarder_.members()}));
+        });
+        verbs_.add("reload", [this](const Json&) { return reload_on_demand(); });
+        if (!control.empty())
+            server_.listen(control);
+        else if (!sources.operator_file.empty())
+            server_.listen(running_.config.state / kSocketName);
+    }
+
+    void run() {
+        heed();
+        forwarder_.start();
+        // A fault in one handler must not take what the others hold with it.
+        while (!io_.stopped()) try {
+                io_.run();
+            } catch (const std::exception& fault) {
+                std::cerr << "lockgw: " << fault.what() << '\n';
+            }
+    }
+
+private:
+    void heed() {
+        signals_.async_wait([this](auto failed, int signal) {
+            if (failed) return;
+            heed();
+            signal == SIGHUP ? reload() : forwarder_.drain();
+        });
+    }
+    /// A bad file must not take a good process down: what it has stays in force, whole.
+    void reload() try { take_over(); } catch (const std::exception& bad) {
+        std::cerr << "lockgw: the old configuration stays: " << bad.what() << std::endl;
+    }
+
+    void take_over() {
+        Loaded fresh = loaded(sources_, &running_);
+        forwarder_.reload(fresh.config, fresh.table);
+        running_ = std::move(fresh);
+        ++reloads_;
+        std::cerr << "lockgw: configuration read anew" << std::endl;
+    }
+    Json reload_on_demand() try {
+        take_over();
+        return {{"reloads", reloads_}, {"routes", running_.file.routes.size()},
+            {"expectations", running_.file.expects.size()}};
+    } catch (const std::exception& bad) {
+        throw control::Refused("the old configuration stays", bad.what());
+    }
+    Json status() const {
+        Json all = forwarder_.status();
+        all["reloads"] = reloads_;
+        all["file"] = running_.file.path;
+        all["expectations"] = running_.file.expects.size();
+        all["control_connections"] = server_.connections();
+        return all;
+    }
+
+    const Sources sources_;
+    boost::asio::io_context io_{1};
+    boost::asio::signal_set signals_;
+    Loaded running_;
+    Forwarder forwarder_;
+    control::Verbs verbs_;
+    control::Server server_;
+    std::size_t reloads_ = 0;
+};
+
+/// A signal that comes while all is being taken down must not turn a good end into a crash.
+void block_signals() {
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
+}  // namespace
+
+int serve(const Sources& sources, const std::string& control) try {
+    std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more
+    Service service(sources, control);
+    service.run();
+    block_signals();
+    return kWell;
+} catch (const std::exception& bad) {
+    std::cerr << "lockgw: cannot start: " << plain(bad.what()) << std::endl;
+    return kWrong;
+}
+
+}  // namespace lockgw::program
--- /dev/null
+++ b/tests/operator_test.cpp
@@ -0,0 +1,200 @@
+// The built program with an operator's file: what check says is where messages go, a reload that fails
+// changes nothing, and the control socket answers only its owner and within its bounds.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <fstream>
+#include <random>
+
+#include "control/client.hpp"
+#include "control/protocol.hpp"
+#include "membership_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+class OperatorTest : public MembershipTest {
+protected:
+    OperatorTest() : MembershipTest(4) {}
+    static std::string destination(const char* more = "") {
+        return std::string("[[destination]]\nname = \"lab\"\nnumber = 7\n") +
+               "[[destination.endpoint]]\nname = \"a\"\nid = \"s-1\"\n[[destination.endpoint]]\nname = "
+               "\"b\"\n"
+               "id = \"s-2\"\n[[destination.endpoint]]\nname = \"c\"\nid = \"s-3\"\n" +
+               more;
+    }
+    void with_file(const std::string& text) {
+        write(text);
+        node.set_environment("LOCKGW_CONFIG", file().string());
+    }
+    void write(const std::string& text) const { std::ofstream(file()) << text; }
+    std::filesystem::path file() const { return node.folder() / "operator.toml"; }
+    std::filesystem::path socket() const { return node.state() / "control"; }
+    void start_with_three() { start_with({member("s-1", 0), member("s-2", 1), member("s-3", 2)}); }
+    /// Where so many messages of a class went.
+    std::set<std::size_t> went(const std::string& kind, int count = 24) {
+        const std::size_t before = targets.calls().size();
+        Client client = node.client();
+        for (int i = 0; i < count; ++i) EXPECT_EQ(enqueue(client, fresh_id(), kind), "+OK") << node.log();
+        EXPECT_TRUE(targets.wait_calls(before + static_cast<std::size_t>(count), kDeadline)) << node.log();
+        std::set<std::size_t> all;
+        const auto calls = targets.calls();
+        for (std::size_t i = before; i < calls.size(); ++i) all.insert(calls[i].target);
+        return all;
+    }
+};
+
+// Random routes by class: for each class the running process says (routes --running) where it goes, and there
+// it goes, and nowhere else; the same after a reload that changes them under way.
+TEST_F(OperatorTest, MessagesGoWhereTheTableSays) {
+    std::mt19937 random(5);
+    const char* const kinds[] = {"safe", "keyed", "unsafe"};
+    const char* const names[] = {"a", "b", "c"};
+    const auto random_routes = [&](std::map<std::string, std::set<std::size_t>>& wanted) {
+        std::string text = destination();
+        for (const char* kind : kinds) {
+            const std::size_t first = random() % 3, second = random() % 3;
+            wanted[kind] = {first, second};
+            text += std::string("[[route]]\nname = \"r-") + kind + "\"\nclass = \"" + kind +
+                    "\"\ndestination = \"lab\"\nendpoints = [\"" + names[first] + '"' +
+                    (first == second ? "" : std::string(", \"") + names[second] + '"') + "]\n";
+        }
+        return text;
+    };
+    std::map<std::string, std::set<std::size_t>> wanted;
+    with_file(random_routes(wanted));
+    start_with_three();
+    for (int round = 0; round < 12; ++round) {
+        if (round > 0) {
+            wanted.clear();
+            write(random_routes(wanted));
+            control::ask(socket(), "reload");
+        }
+        for (const auto& row : control::ask(socket(), "routes")) {
+            if (row.at("destination") != "lab") continue;
+            const std::string kind = row.at("class");
+            std::set<std::size_t> said;
+            for (const std::string name : row.at("endpoints"))
+                said.insert(static_cast<std::size_t>(name[0] - 'a'));
+            EXPECT_TRUE(kind == "*" || said == wanted.at(kind)) << kind;
+        }
+        for (const char* kind : kinds)
+            for (const std::size_t target : went(kind, 12))
+                EXPECT_TRUE(wanted[kind].contains(target)) << kind;
+    }
+}
+
+// A message that is held for its route's endpoint goes by the new routes once they are in force.
+TEST_F(OperatorTest, AHeldMessageFollowsTheRoutesInForce) {
+    const std::string only_c = "[[route]]\nname = \"r\"\ndestination = \"lab\"\nendpoints = [\"c\"]\n";
+    with_file(destination() + only_c);
+    start_with({member("s-1", 0), member("s-2", 1)});  // c is not listed
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, fresh_id()), "+OK");
+    std::this_thread::sleep_for(300ms);
+    EXPECT_TRUE(targets.calls().empty());
+    EXPECT_EQ(control::ask(socket(), "status").at("held"), 1);
+    write(destination());
+    control::ask(socket(), "reload");
+    EXPECT_TRUE(targets.wait_calls(1, kDeadline)) << node.log();
+}
+
+TEST_F(OperatorTest, RefusesWhatARouteRefusesAndKeepsWhatItTook) {
+    with_file(destination());
+    rig::CallScript hang;
+    hang.kind = rig::CallScript::Kind::Hang;
+    targets.usual(0, hang);
+    start_with({member("s-1", 0)});
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, fresh_id()), "+OK");
+    write(destination("[[route]]\nname = \"closed\"\ndestination = \"lab\"\nrefuse = true\n"));
+    control::ask(socket(), "reload");
+    EXPECT_EQ(enqueue(client, fresh_id()), "-ERR refused by route \"closed\"");
+    EXPECT_EQ(control::ask(socket(), "status").at("held"), 1);
+}
+
+// Under load: a new file whose expectation fails is named with rule and destination, and changes nothing.
+TEST_F(OperatorTest, AReloadThatFailsKeepsTheOldRoutes) {
+    const std::string good = destination(
+        "[[route]]\nname = \"to-b\"\nclass = \"safe\"\ndestination = \"lab\"\nendpoints = [\"b\"]\n"
+        "[[expect]]\nname = \"safe to b\"\nclass = \"safe\"\ndestination = \"lab\"\nendpoints = [\"b\"]\n");
+    with_file(good);
+    start_with_three();
+    std::atomic<bool> over = false;
+    std::atomic<int> taken = 0;
+    std::thread load([&] {
+        Client client = node.client();
+        for (unsigned i = 0x900000; !over; ++i) {
+            char id[17];
+            std::snprintf(id, sizeof id, "%016x", i);
+            taken += enqueue(client, id) == "+OK";
+        }
+    });
+    std::string broken = good;
+    broken.replace(broken.find("endpoints = [\"b\"]"), 17, "endpoints = [\"a\"]");
+    for (const std::string& text :
+        {broken, good.substr(0, good.size() / 2) + "[[", std::string(1 << 20, 'x')})
+        for (int i = 0; i < 5; ++i) {
+            write(text);
+            try {
+                control::ask(socket(), "reload");
+                ADD_FAILURE() << "taken over";
+            } catch (const control::Refused& refused) {
+                if (text == broken) {
+                    EXPECT_NE(refused.problems().find("expect-failed: expectation \"safe to b\""),
+                        std::string::npos)
+                        << refused.problems();
+                    EXPECT_NE(refused.problems().find("\"lab\""), std::string::npos);
+                }
+            }
+        }
+    over = true;
+    load.join();
+    EXPECT_GT(taken, 0);
+    EXPECT_TRUE(targets.wait_calls(static_cast<std::size_t>(taken), kDeadline));
+    for (const auto& call : targets.calls()) EXPECT_EQ(call.target, 1u);
+    for (const auto& [id, count] : targets.effects_by_id()) EXPECT_EQ(count, 1) << id;
+}
+
+TEST_F(OperatorTest, TheControlSocketIsItsOwnersAndBounded) {
+    with_file(destination());
+    start_with_three();
+    struct stat info {};
+    ASSERT_EQ(::stat(socket().c_str(), &info), 0);
+    EXPECT_EQ(info.st_mode & 0777, 0600u);
+    EXPECT_THROW(control::ask(socket(), "nonsense"), control::Refused);
+    EXPECT_THROW(control::ask(socket(), std::string(70'000, 'x')), std::exception);
+    using Local = boost::asio::local::stream_protocol;
+    boost::asio::io_context io;
+    std::vector<std::unique_ptr<Local::socket>> many;
+    for (int i = 0; i < 20; ++i) {  // idle ones take its places; it stays bounded, and messages go on
+        many.push_back(std::make_unique<Local::socket>(io));
+        boost::system::error_code ignored;
+        many.back()->connect(Local::endpoint(socket().string()), ignored);
+    }
+    EXPECT_EQ(went("safe", 8).empty(), false);
+    many.clear();
+    ASSERT_TRUE(waits_for([&] {
+        try {
+            return control::ask(socket(), "status").at("control_connections") <= 8;
+        } catch (const std::exception&) {
+            return false;
+        }
+    }));
+}
+
+TEST(ControlProtocol, AnswersEveryLineInItsForm) {
+    control::Verbs verbs;
+    verbs.add("echo", [](const control::Json& args) { return args; });
+    verbs.add("fail", [](const control::Json&) -> control::Json { throw control::Refused("no", "a\nb"); });
+    EXPECT_THROW(verbs.add("echo", {}), std::logic_error);
+    const auto answer = [&](const std::string& line) { return control::Json::parse(verbs.answer(line)); };
+    EXPECT_EQ(answer(R"({"v":1,"verb":"echo","args":{"x":1}})").at("result").at("x"), 1);
+    EXPECT_EQ(answer(R"({"v":1,"verb":"fail"})").at("problems"), "a\nb");
+    for (const char* line : {"", "x", "[]", "{}", R"({"v":2,"verb":"echo"})", R"({"v":1})",
+             R"({"v":1,"verb":3})", R"({"v":1,"verb":"none"})", "{\"v\":1,\"verb\":\"\xff\"}"})
+        EXPECT_FALSE(answer(line).at("ok")) << line;
+}
+
+}  // namespace
+}  // namespace lockgw
--- /dev/null
+++ b/tests/routes_test.cpp
@@ -0,0 +1,198 @@
+// The operator's file: a corpus of broken ones, each with the rule and line that it must fail with; routes
+// and expectations over random files; and what a new file changes.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "config/operator_file.hpp"
+#include "program/load.hpp"
+#include "routes/expectations.hpp"
+
+namespace lockgw {
+namespace {
+
+using config::Problems;
+
+std::string read(const std::filesystem::path& path) {
+    std::ifstream stream(path);
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+class Corpus : public ::testing::TestWithParam<std::filesystem::path> {};
+TEST_P(Corpus, FailsWithItsRuleAtItsLine) {
+    std::istringstream head(read(GetParam()));
+    std::string hash, expect, rule;
+    std::uint32_t line = 0;
+    head >> hash >> expect >> line >> rule;
+    Problems problems(GetParam().string());
+    EXPECT_FALSE(program::load({GetParam().string(), "", "", ""}, problems));
+    bool found = false;
+    for (const auto& problem : problems.sorted()) found |= problem.rule == rule && problem.place.line == line;
+    EXPECT_TRUE(found) << "wanted " << rule << " in line " << line << "; found\n" << problems.text();
+}
+std::vector<std::filesystem::path> corpus() {
+    std::vector<std::filesystem::path> all;
+    for (const auto& entry : std::filesystem::directory_iterator(CORPUS_FOLDER)) all.push_back(entry.path());
+    std::sort(all.begin(), all.end());
+    return all;
+}
+INSTANTIATE_TEST_SUITE_P(Config, Corpus, ::testing::ValuesIn(corpus()),
+    [](const auto& info) { return info.param.stem().string(); });
+
+class OperatorFileTest : public ::testing::Test {
+protected:
+    std::optional<program::Loaded> load(const std::string& text, const std::string& name = "file.toml") {
+        const auto path = folder / name;
+        std::ofstream(path) << text;
+        problems = Problems(name);
+        return program::load({path.string(), "", "", ""}, problems);
+    }
+    OperatorFileTest() { std::filesystem::create_directories(folder); }
+    ~OperatorFileTest() override { std::filesystem::remove_all(folder); }
+
+    std::filesystem::path folder =
+        std::filesystem::temp_directory_path() / ("lockgw-routes-" + std::to_string(::getpid()));
+    Problems problems{"file.toml"};
+};
+
+TEST_F(OperatorFileTest, TheExampleIsWell) {
+    Problems found(EXAMPLE_FILE);
+    const auto loaded = program::load({EXAMPLE_FILE, "", "", ""}, found);
+    ASSERT_TRUE(loaded) << found.text();
+    const auto status = loaded->table.resolve({"status-update", "shop-supply", 3}, loaded->members.of(3));
+    EXPECT_EQ(status.endpoints, std::vector<std::string>{"lab.example.org/b"});
+    EXPECT_EQ(status.rule, "route \"status-to-b\"");
+    EXPECT_TRUE(loaded->table.resolve({"order-submit", "clinic-orders", 7}, loaded->members.of(7)).refused);
+    EXPECT_TRUE(loaded->table.resolve({"status-update", "shop-supply", 7}, loaded->members.of(7)).refused);
+}
+
+TEST_F(OperatorFileTest, ListsAllErrorsNotTheFirstAlone) {
+    EXPECT_FALSE(load("[limits]\nslots = 0\nheld = \"x\"\nslts = 3\n[[class]]\nname = \"a b\"\n"));
+    EXPECT_GE(problems.count(), 5u) << problems.text();
+}
+
+TEST_F(OperatorFileTest, BearsNonsense) {
+    std::mt19937 random(11);
+    std::string nonsense(1 << 20, '\0');
+    for (char& letter : nonsense) letter = static_cast<char>(random());
+    EXPECT_FALSE(load(nonsense));
+    EXPECT_FALSE(load(std::string(1 << 20, '[')));
+    EXPECT_FALSE(load(std::string(17u << 20, '#')));
+    std::string many;
+    for (int i = 0; i < 5000; ++i) many += "k" + std::to_string(i) + " = 1\n";
+    EXPECT_FALSE(load(many));
+    EXPECT_LE(problems.sorted().size(), Problems::kMost);
+    const std::string example = read(EXAMPLE_FILE);  // truncated while it is written: anywhere
+    for (std::size_t at = 0; at < example.size(); at += 37) {
+        const auto loaded = load(example.substr(0, at));
+        EXPECT_TRUE(!loaded || !loaded->file.destinations.empty()) << at;
+    }
+}
+
+/// Random rows over few names, so that they overlap often.
+std::string random_file(std::mt19937& random, std::vector<std::string>* destinations = nullptr) {
+    std::ostringstream text;
+    text << "[instance]\nlisten = \"127.0.0.1:1\"\nstate = \"s\"\n";
+    for (const char* name : {"k0", "k1"}) text << "[[kind]]\nname = \"" << name << "\"\n";
+    for (const char* name : {"c0", "c1", "c2"})
+        text << "[[class]]\nname = \"" << name << "\"\naim_ms = 1\ndeadline_ms = 9\n";
+    for (const char* name : {"t0", "t1"}) text << "[[tenant]]\nname = \"" << name << "\"\n";
+    const int count = 1 + static_cast<int>(random() % 4);
+    for (int d = 0; d < count; ++d) {
+        text << "[[destination]]\nname = \"d" << d << "\"\nnumber = " << d << "\nkind = \"k" << random() % 2
+             << "\"\n";
+        if (destinations) destinations->push_back("d" + std::to_string(d));
+        for (int e = 0; e < 3; ++e)
+            text << "[[destination.endpoint]]\nname = \"e" << e
+                 << "\"\naddress = \"127.0.0.1:" << 100 + d * 10 + e << "\"\n";
+    }
+    const auto some = [&](const char* key, const char* letter, int of) {
+        if (random() % 2) return;
+        text << key << " = [\"" << letter << random() % static_cast<unsigned>(of) << "\"]\n";
+    };
+    for (int r = 0, routes = static_cast<int>(random() % 6); r < routes; ++r) {
+        text << "[[route]]\nname = \"r" << r << "\"\n";
+        some("class", "c", 3), some("tenant", "t", 2);
+        if (random() % 4 == 0) {
+            some("kind", "k", 2), some("destination", "d", count);
+            text << "refuse = true\n";
+        } else {
+            text << "destination = [\"d" << random() % static_cast<unsigned>(count) << "\"]\nendpoints = [\"e"
+                 << random() % 3 << "\"" << (random() % 2 ? "" : ", \"d0/e0\"") << "]\n";
+        }
+    }
+    return text.str();
+}
+
+// The compiled table against a plain reading of the rows, in the order of the file.
+TEST_F(OperatorFileTest, TheFirstRouteThatMatchesDecides) {
+    std::mt19937 random(2026);
+    int checked = 0;
+    for (int run = 0; run < 1500; ++run) {
+        const auto loaded = load(random_file(random));
+        if (!loaded) continue;  // an unreachable route, an endpoint elsewhere: by chance
+        const auto has = [](const std::vector<config::Word>& words, const std::string& one) {
+            return words.empty() || std::any_of(words.begin(), words.end(),
+                                        [&](const auto& word) { return word.text == one; });
+        };
+        for (const auto& destination : loaded->file.destinations)
+            for (const char* kind : {"c0", "c1", "c2"})
+                for (const char* tenant : {"t0", "t1"}) {
+                    const config::RouteRow* decides = nullptr;
+                    for (const auto& row : loaded->file.routes)
+                        if (!decides && has(row.classes, kind) && has(row.tenants, tenant) &&
+                            has(row.kinds, destination.kind->text) &&
+                            has(row.destinations, destination.name.text))
+                            decides = &row;
+                    const auto found = loaded->table.resolve(
+                        {kind, tenant, destination.number}, loaded->members.of(destination.number));
+                    ASSERT_EQ(found.rule,
+                        decides ? "route \"" + decides->name.text + '"' : loaded->table.rule_of(0))
+                        << "run " << run;
+                    ASSERT_EQ(found.refused, decides && decides->refuse);
+                    ++checked;
+                }
+    }
+    EXPECT_GT(checked, 1000);
+}
+
+// What holds of a file is expected of it: it then fails for any other table of routes that changes it.
+TEST_F(OperatorFileTest, ExpectationsSayWhatANewFileBreaks) {
+    const std::string old_text = read(EXAMPLE_FILE);
+    const auto before = load(old_text, "old.toml");
+    ASSERT_TRUE(before) << problems.text();
+    const auto changed = [&](const std::string& from, const std::string& to) {
+        std::string text =
+            old_text.substr(0, old_text.find("[[expect]]"));  // its expectations silently dropped
+        text.replace(text.find(from), from.size(), to);
+        const auto after = load(text, "new.toml");
+        EXPECT_TRUE(after) << problems.text();
+        return routes::difference(before->scene(), after->scene());
+    };
+    const auto other_endpoint = changed("endpoints = [\"b\"]", "endpoints = [\"a\"]");
+    EXPECT_EQ(other_endpoint.dropped.size(), 3u);
+    ASSERT_EQ(other_endpoint.broken.size(), 1u);
+    EXPECT_NE(other_endpoint.broken[0].find("status updates go to b"), std::string::npos);
+    EXPECT_NE(other_endpoint.broken[0].find("lab.example.org"), std::string::npos);
+    EXPECT_EQ(other_endpoint.changes.size(), 2u);  // of both tenants
+    EXPECT_EQ(changed("refuse = true", "endpoints = [\"a\"]").broken.size(), 1u);
+}
+
+// An endpoint that moved: the operator's file and the list disagree, and it says so before anything is
+// loaded.
+TEST_F(OperatorFileTest, TellsAnEndpointThatMoved) {
+    std::string text = read(EXAMPLE_FILE);
+    const auto list = folder / "members.json";
+    std::ofstream(list) << R"({"revision":1,"complete":true,"members":[{"id":"lab.example.org/b",)"
+                           R"("host_port":"127.0.0.1:7402","locality":"","flavor":"lens-lab","cell":7,)"
+                           R"("phase":"in_service","size":1.0,"up_since_ms":0}]})";
+    Problems found("file");
+    EXPECT_FALSE(program::load({EXAMPLE_FILE, "", "", list.string()}, found));
+    EXPECT_NE(found.text().find("endpoint-moved"), std::string::npos) << found.text();
+}
+
+}  // namespace
+}  // namespace lockgw
