Config: bytes that the TOML library asserts on are an error of the file, not the end of the process

Found by the new fuzz target of the operator's file (tests/fuzz/run RUNS config) within a second, and by the test of nonsense under the sanitizers: toml++ asserts in parse_key on some bytes that are no text. Without NDEBUG that ended the process, with it the library took its assertion for granted.

--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <sstream>
+#include <stdexcept>
 
 namespace lockgw::config {
 namespace {
@@ -53,6 +54,10 @@
 
 }  // namespace
 
+void not_understood() {
+    throw std::runtime_error("the file is not understood: it may hold bytes that are no text");
+}
+
 Place place_of(const toml::node& node) { return {node.source().begin.line, node.source().begin.column}; }
 
 void TableReader::problem(Place place, std::string rule, std::string text) {
@@ -208,6 +213,9 @@
         const auto& begin = bad.source().begin;
         problems.add({begin.line, begin.column}, "syntax", std::string(bad.description()));
         return std::nullopt;
+    } catch (const std::runtime_error& bad) {
+        problems.add({}, "syntax", bad.what());
+        return std::nullopt;
     }
 }
 
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -14,10 +14,22 @@
 
 #include "config/problems.hpp"
 
+namespace lockgw::config {
+/// Throws std::runtime_error.
+[[noreturn]] void not_understood();
+}  // namespace lockgw::config
+
 // One place decides how the library is built: as headers, without its own I/O.
 #define TOML_HEADER_ONLY 1
+// Some broken files trip the library's own assertions (its parse_key on bytes that are no text): what would
+// end the process, or with NDEBUG go on regardless, is an error of that file.
+#define TOML_ASSERT(expression) \
+    (static_cast<bool>(expression) ? static_cast<void>(0) : ::lockgw::config::not_understood())
 #define TOML_ENABLE_FORMATTERS 0
+#pragma push_macro("NDEBUG")
+#undef NDEBUG  // with it the library takes its assertions for granted instead
 #include <toml++/toml.h>
+#pragma pop_macro("NDEBUG")
 
 namespace lockgw::config {
 
