--- a/bench/routes_bench.cpp
+++ b/bench/routes_bench.cpp
@@ -1,6 +1,8 @@
 // Cost of a route's look-up: by how many destinations and routes there are. Google Benchmark.
 #include <benchmark/benchmark.h>
 
+#include <sstream>
+
 #include "routes/table.hpp"
 
 namespace {
@@ -9,28 +11,19 @@
 
 /// Half of the destinations have a route of their own; `general` routes name none.
 routes::Table table_of(int destinations, int general) {
-    config::OperatorFile file;
     const routes::Known known{{"order", "status"}, {"t0", "t1"}, {"k"}, {}, {}};
-    for (int i = 0; i < destinations; ++i) {
-        config::DestinationRow row;
-        row.name.text = "d" + std::to_string(i), row.number = i;
-        row.endpoints.push_back({{"a", {}}, "s-" + std::to_string(i), {}, ""});
-        file.destinations.push_back(row);
-    }
-    for (int i = 0; i < general; ++i) {
-        config::RouteRow row;
-        row.name.text = "g" + std::to_string(i);
-        row.classes = {{"status", {}}}, row.tenants = {{i % 2 ? "t0" : "t1", {}}}, row.refuse = true;
-        file.routes.push_back(row);
-    }
-    for (int i = 0; i < destinations / 2; ++i) {
-        config::RouteRow row;
-        row.name.text = "r" + std::to_string(i);
-        row.classes = {{"order", {}}}, row.destinations = {{"d" + std::to_string(i), {}}},
-        row.endpoints = {{"a", {}}};
-        file.routes.push_back(row);
-    }
+    std::ostringstream text;
+    for (int i = 0; i < destinations; ++i)
+        text << "[[destination]]\nname = \"d" << i << "\"\nnumber = " << i
+             << "\n[[destination.endpoint]]\nname = \"a\"\nid = \"s-" << i << "\"\n";
+    for (int i = 0; i < general; ++i)
+        text << "[[route]]\nname = \"g" << i << "\"\nclass = \"status\"\ntenant = \"t" << i % 2
+             << "\"\nrefuse = true\n";
+    for (int i = 0; i < destinations / 2; ++i)
+        text << "[[route]]\nname = \"r" << i << "\"\nclass = \"order\"\ndestination = \"d" << i
+             << "\"\nendpoints = [\"a\"]\n";
     config::Problems problems("bench");
+    const auto file = config::read_operator_file(text.str(), "bench", problems);
     return routes::Table(file, known, problems);
 }
 
