--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -156,6 +156,21 @@
     for (const auto& [id, count] : targets.effects_by_id()) EXPECT_EQ(count, 1) << id;
 }
 
+// Limits in the file hold: of one that NODE_CONFIG tells too the lower one; at the door a silent client is
+// waited for as long as it says (2 s without it).
+TEST_F(OperatorTest, ItsLimitsHold) {
+    with_file(destination("[limits]\nheld = 1\n[door]\nsilent_ms = 60000\n"));
+    rig::CallScript hang;
+    hang.kind = rig::CallScript::Kind::Hang;
+    targets.usual(0, hang);
+    start_with({member("s-1", 0)});
+    Client silent(node.address()), client = node.client();
+    ASSERT_EQ(enqueue(client, fresh_id()), "+OK");
+    EXPECT_EQ(enqueue(client, fresh_id()).substr(0, 5), "-BUSY");  // NODE_CONFIG has room for 40
+    std::this_thread::sleep_for(4s);
+    EXPECT_EQ(silent.ask({"PING"}), "+PONG");
+}
+
 TEST_F(OperatorTest, TheControlSocketIsItsOwnersAndBounded) {
     with_file(destination());
     start_with_three();
