Door: memory, reading in turn and hand-over are settings too; a reload that changes them says so

Need: [door] had the limits of places, times and overload; the memory that clients may fill, the reading in turn and the hand-over were fixed. A reload that changed [door] or [limits] was taken over without effect.

Change: core/door_limits, one place for every front; memory_share, read_*_kb*, hand_over_* in the file; they stand in the status; a reload that changes [door] or any of [limits] is refused by name.

--- a/src/admission/memory.hpp
+++ b/src/admission/memory.hpp
@@ -28,6 +28,7 @@
     /// Who has to give some up now; ask again until there is nobody.
     std::optional<Owner> over() const;
 
+    std::size_t most() const { return most_; }
     std::size_t held() const { return held_; }
     std::size_t held_by(Owner owner) const;
 
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr double kLongestMs = 86.4e6;  // a day
+constexpr double kLongestMs = 86.4e6;              // a day
+constexpr std::int64_t kLongestHandOverMs = 3000;  // the platform ends a process 3.7 s after SIGTERM
 constexpr std::int64_t kMostNumber = 1'000'000'000'000;
 
 bool fits_name(const std::string& name) {
@@ -125,6 +126,12 @@
         row.idle_once_ms = ms("idle_once_ms"), row.idle_regular_ms = ms("idle_regular_ms");
         row.overload_target_ms = ms("overload_target_ms"), row.patience_ms = ms("patience_ms");
         row.least_wait_ms = ms("least_wait_ms"), row.most_wait_ms = ms("most_wait_ms");
+        row.memory_share = table.number("memory_share", 0.01, 0.9);
+        const auto kilobytes = [&table](const char* key) { return table.integer(key, 1, 1'000'000); };
+        row.read_kb_per_s = kilobytes("read_kb_per_s"), row.read_burst_kb = kilobytes("read_burst_kb");
+        row.read_turn_kb = kilobytes("read_turn_kb");
+        row.hand_over_ms = table.integer("hand_over_ms", 100, kLongestHandOverMs);
+        row.hand_over_per_s = table.number("hand_over_per_s", 1, 1e6);
         if (row.least_wait_ms && row.most_wait_ms && *row.least_wait_ms > *row.most_wait_ms)
             table.problem(
                 table.place("least_wait_ms"), "out-of-range", "least_wait_ms is above most_wait_ms");
--- a/src/config/operator_file.hpp
+++ b/src/config/operator_file.hpp
@@ -80,6 +80,8 @@
 struct LimitsRow {
     std::optional<std::int64_t> descriptors, slots, held, attempts, connect_timeout_ms, conn_idle_ms;
     std::optional<double> memory_mb, disk_mb;
+
+    bool operator==(const LimitsRow&) const = default;
 };
 struct OperatorFile {
     std::string path;
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/condition.hpp"
+#include "core/door_limits.hpp"
 
 namespace lockgw {
 
@@ -415,7 +416,7 @@
 void Forwarder::drain() {
     if (std::exchange(draining_, true)) return;
     // What the last of them still hand in has a second to be delivered.
-    const admission::HandOver plan({}, config_.settings.n_instances - 1);
+    const admission::HandOver plan(hand_over_limits(config_.door), config_.settings.n_instances - 1);
     front_->hand_on(plan);
     drain_step_.expires_after(plan.limits().end + kDrainCheck);
     drain_step_.async_wait([this](auto) { stop_if_done(); });
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -6,6 +6,8 @@
 #include <iostream>
 #include <utility>
 
+#include "core/door_limits.hpp"
+
 namespace lockgw {
 
 using admission::Class;
@@ -27,38 +29,10 @@
 constexpr std::size_t kSweeps = 8;
 constexpr std::size_t kBatch = 128;         // requests handed on in one turn
 constexpr std::size_t kLastAccepts = 8192;  // when the listener closes: more than its queue holds
-constexpr std::size_t kMemoryShare = 4;     // of the memory: for what clients send and wait for
 constexpr std::uint64_t kCostUnit = 4096;   // bytes of a body that weigh as much as one more request
 constexpr std::uint64_t kLeastQuantum = 18, kMostQuantum = 1800;  // a body of 64 KiB goes in one round
 constexpr admission::Owner kTenant = admission::Owner{1} << 40;   // tenants beside sources
 
-template <class Value, class Told>
-void take(Value& value, const std::optional<Told>& told) {
-    if (!told) return;
-    if constexpr (std::is_same_v<Told, std::int64_t>)
-        value = std::chrono::milliseconds(*told);
-    else
-        value = *told;
-}
-admission::DoorLimits limits_of(std::size_t most, const config::DoorRow& told) {
-    admission::DoorLimits limits;
-    limits.most = most;
-    take(limits.doorstep, told.doorstep), take(limits.unproved, told.unproved);
-    take(limits.owner_share, told.owner_share), take(limits.short_from, told.short_from);
-    take(limits.grace, told.grace_ms), take(limits.silent, told.silent_ms),
-        take(limits.partly, told.partly_ms);
-    take(limits.unread, told.unread_ms), take(limits.idle, told.idle_ms);
-    take(limits.idle_probed, told.idle_probed_ms), take(limits.idle_once, told.idle_once_ms);
-    take(limits.idle_regular, told.idle_regular_ms);
-    return limits;
-}
-admission::OverloadLimits overload_of(const config::DoorRow& told) {
-    admission::OverloadLimits limits;
-    take(limits.target, told.overload_target_ms), take(limits.patience, told.patience_ms);
-    take(limits.least_wait, told.least_wait_ms), take(limits.most_wait, told.most_wait_ms);
-    return limits;
-}
-
 admission::Owner source_of(const Tcp::endpoint& from) {
     return from.address().is_v4() ? from.address().to_v4().to_uint()
                                   : std::hash<std::string>{}(from.address().to_string()) % kTenant;
@@ -95,15 +69,15 @@
     : io_(io),
       config_(config),
       intake_(intake),
-      door_(limits_of(most_connections, config.door)),
-      overload_(overload_of(config.door)),
+      door_(door_limits(most_connections, config.door)),
+      overload_(overload_limits(config.door)),
       waiting_(most_connections),
       acceptor_(io),
       pause_(io),
       sweep_(io),
       hand_on_(io),
-      memory_(config.memory_bytes / kMemoryShare),
-      read_turns_({}) {}
+      memory_(door_memory(config.memory_bytes, config.door)),
+      read_turns_(read_limits(config.door)) {}
 Clients::~Clients() = default;
 
 // ---- connections ----
@@ -377,7 +351,10 @@
         {"accept_failed", counters_.accept_failed}, {"handed_in", counters_.served},
         {"refused_after_a_wait", counters_.refused}, {"given_up_by_clients", counters_.gone},
         {"for_want_of_memory", counters_.too_much}, {"overloaded", overload_.overloaded()},
-        {"held_bytes", memory_.held()},
+        {"held_bytes", memory_.held()}, {"most_held_bytes", memory_.most()},
+        {"read_in_turn", read_turns_.size()},
+        {"read_limits", {{"per_s", read_turns_.limits().per_s}, {"burst", read_turns_.limits().burst},
+                            {"turn", read_turns_.limits().turn}}},
         {"grace_ms", std::chrono::duration<double, std::milli>(door_.grace()).count()}};
 }
 
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -112,8 +112,10 @@
     keeps(a.names.tenants == b.names.tenants, "the tenants");
     keeps(a.names.kinds == b.names.kinds, "the kinds");
     keeps(a.names.zones == b.names.zones, "the zones");
-    keeps(a.sockets == b.sockets && a.memory_bytes == b.memory_bytes && a.disk_bytes == b.disk_bytes,
+    keeps(a.sockets == b.sockets && a.memory_bytes == b.memory_bytes && a.disk_bytes == b.disk_bytes &&
+              running.file.limits == fresh.file.limits,
         "[limits]");
+    keeps(running.file.door == fresh.file.door, "[door]");
     keeps(a.discovery.has_value() == b.discovery.has_value(), "where endpoints come from");
     keeps(a.discovery || a.known == b.known, "static endpoints");
 }
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -24,6 +24,7 @@
     return {std::istreambuf_iterator<char>(stream), {}};
 }
 void write_bytes(const std::filesystem::path& path, const std::string& bytes) {
+    std::filesystem::remove(path);  // some file systems write a file that is cut and written anew out at once
     std::ofstream(path, std::ios::binary) << bytes;
 }
 std::size_t bytes_on_disk(const std::filesystem::path& folder) {
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -46,6 +46,8 @@
 protected:
     std::optional<program::Loaded> load(const std::string& text, const std::string& name = "file.toml") {
         const auto path = folder / name;
+        std::filesystem::remove(
+            path);  // some file systems write a file that is cut and written anew out at once
         std::ofstream(path) << text;
         problems = Problems(name);
         return program::load({path.string(), "", "", ""}, problems);
