Membership: a list whose targets share an address is taken in n log n; check copies less

A directory that lists thousands at one address would have stopped the forwarder, drains included.

Change: one walk an address; (address, id) in a set.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -62,7 +62,7 @@
     return std::min<std::size_t>(sockets, limit.rlim_cur);
 }
 
-Config read_config(const Json& file) {
+Config read_config(Json file) {
     Config config;
     config.name = value_or<std::string>(file, "name", "");
     config.listen = tcp_endpoint(field<std::string>(file, "listen"), "listen");
@@ -72,7 +72,8 @@
     config.seed = seed_of(field<std::string>(file, "seed"));
     read_limits(need(file, "limits"), config);
     read_peers(file, config);
-    config.known = value_or(file, "known", Json::object());
+    config.known =
+        file.contains("known") && !file["known"].is_null() ? std::move(file["known"]) : Json::object();
     const Json& params = need(file, "settings");
     config.names = cometspoke::settings::names_of(params);
     config.settings = cometspoke::settings::settings_of(params, config.names);
@@ -87,9 +88,9 @@
 Config config_of_file(const std::string& path) {
     std::ifstream stream(path);
     if (!stream) throw BadInput("NODE_CONFIG cannot be read: " + path);
-    const Json file = Json::parse(stream);
+    Json file = Json::parse(stream);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
-    return read_config(file);
+    return read_config(std::move(file));
 }
 
 Config config_of_environment() {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -43,7 +43,7 @@
 };
 
 /// Throws std::exception with one plain line where something is missing or makes no sense.
-Config read_config(const Json& file);
+Config read_config(Json file);
 /// The file that NODE_CONFIG names, and NODE_STATE.
 Config config_of_environment();
 Config config_of_file(const std::string& path);
--- a/src/config/stand_alone.cpp
+++ b/src/config/stand_alone.cpp
@@ -84,10 +84,12 @@
                        {"sockets", file.limits.descriptors.value_or(kDescriptors)},
                        {"disk_mb", file.limits.disk_mb.value_or(64)}}},
         {"settings", settings_of(file)}, {"state", own.state}};
-    if (own.discovery)
+    if (own.discovery) {
         node["discovery"] = own.discovery->text;
-    else
-        node["known"] = {{"revision", 0}, {"complete", true}, {"members", static_members(file)}};
+    } else {
+        node["known"] = {{"revision", 0}, {"complete", true}};
+        node["known"]["members"] = static_members(file);  // not in the list above, which copies
+    }
     if (own.peer_listen) node["peer_listen"] = own.peer_listen->text;
     if (own.peers_all) node["peers_all"] = own.peers_all->text;
     for (const Word& peer : own.peers) node["peers"].push_back(peer.text);
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -8,11 +8,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <chrono>
-#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace lockgw::log {
@@ -23,7 +21,6 @@
 constexpr std::size_t kWaiting = 1024;   // lines
 constexpr std::size_t kMostKinds = 256;  // of (part, what) that are counted apart
 constexpr unsigned kEachSecond = 50;     // lines of one of them
-constexpr std::size_t kMostText = 2000;  // bytes of one value
 
 /// How many lines of one (part, what) have come in this second, and how many of them were left out.
 struct Counted {
@@ -93,53 +90,8 @@
     return std::exchange(counted.left_out, 0);
 }
 
-bool is_plain(const std::string& text) {
-    for (const char letter : text)
-        if (letter <= ' ' || letter == '"' || letter == '=' || letter > '~') return false;
-    return !text.empty();
-}
-
-nlohmann::json json_of(const Value& value) {
-    return std::visit(
-        [](const auto& one) -> nlohmann::json {
-            if constexpr (std::is_same_v<std::decay_t<decltype(one)>, std::string>)
-                return one.substr(0, kMostText);
-            else
-                return one;
-        },
-        value.what);
-}
-
-std::string dumped(const nlohmann::json& json) {
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 }  // namespace
 
-std::string line_of(Form form, std::int64_t at, Level level, std::string_view part, std::string_view what,
-    const Value* values, std::size_t count) {
-    if (form == Form::Text) {
-        std::string line = fmt::format("{} {}: {}", text_of(level), part, what);
-        for (const Value* value = values; value != values + count; ++value) {
-            line.append(1, ' ').append(value->name).append(1, '=');
-            const auto* text = std::get_if<std::string>(&value->what);
-            line += text != nullptr && is_plain(*text) && text->size() <= kMostText ? *text
-                                                                                    : dumped(json_of(*value));
-        }
-        return line;
-    }
-    const std::time_t seconds = at / 1000;
-    std::tm utc{};
-    gmtime_r(&seconds, &utc);
-    char day[32];
-    std::strftime(day, sizeof day, "%Y-%m-%dT%H:%M:%S", &utc);
-    nlohmann::ordered_json line{{"at", fmt::format("{}.{:03}Z", day, at % 1000)}, {"level", text_of(level)},
-        {"part", part}, {"what", what}};
-    for (const Value* value = values; value != values + count; ++value)
-        line[std::string(value->name)] = json_of(*value);
-    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-}
-
 void start(const Settings& settings) try {
     State& now = state();
     const std::lock_guard lock(now.mutex);
@@ -181,29 +133,4 @@
 } catch (const std::exception&) {  // a line that cannot be written must not end what it tells of
 }
 
-const char* text_of(Level level) {
-    switch (level) {
-        case Level::Debug:
-            return "debug";
-        case Level::Info:
-            return "info";
-        case Level::Warn:
-            return "warn";
-        case Level::Error:
-            break;
-    }
-    return "error";
-}
-
-bool level_of(std::string_view text, Level& level) {
-    for (const Level one : {Level::Debug, Level::Info, Level::Warn, Level::Error})
-        if (text == text_of(one)) return level = one, true;
-    return false;
-}
-bool form_of(std::string_view text, Form& form) {
-    if (text != "text" && text != "json") return false;
-    form = text == "json" ? Form::Json : Form::Text;
-    return true;
-}
-
 }  // namespace lockgw::log
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -196,10 +196,11 @@
 /// An address is one process's: where another target is told there, the one before it has gone from it,
 /// unless the same answer names both.
 void View::hold_others_at(const std::set<std::string>& named_ready, Update& update) {
-    for (const std::string& id : named_ready) {
-        const Member& newcomer = members_.at(id);
-        const auto [from, to] = at_.equal_range(newcomer.target.address);
-        for (auto place = from; place != to; ++place) {
+    std::map<Tcp::endpoint, std::string> newcomers;  // one of each address: they are walked once
+    for (const std::string& id : named_ready) newcomers.emplace(members_.at(id).target.address, id);
+    for (const auto& [address, id] : newcomers) {
+        for (auto place = at_.lower_bound({address, ""}); place != at_.end() && place->first == address;
+             ++place) {
             Member& other = members_.at(place->second);
             if (named_ready.contains(place->second) || std::exchange(other.held, true)) continue;
             update.remarks.push_back("nothing new goes to " + place->second + ": its address is told as " +
@@ -242,12 +243,7 @@
 }
 
 void View::erase(Members::iterator member) {
-    const auto [from, to] = at_.equal_range(member->second.target.address);
-    for (auto place = from; place != to; ++place)
-        if (place->second == member->first) {
-            at_.erase(place);
-            break;
-        }
+    at_.erase({member->second.target.address, member->first});
     members_.erase(member);
 }
 
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -96,7 +96,7 @@
 
     std::set<std::string> zones_, kinds_;
     Members members_;                               // those not gone
-    std::multimap<Tcp::endpoint, std::string> at_;  // Ready ones by address
+    std::set<std::pair<Tcp::endpoint, std::string>> at_;  // Ready ones by address: many may share one
     std::set<std::string> stopped_;                 // ids of members that are stopped, or were
     std::uint64_t epoch_ = 0;
     std::optional<std::int64_t> revision_;
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -75,8 +75,8 @@
             config::check_beside_platform(loaded.file, problems);
             loaded.config = config_of_file(sources.node_config);
         } else if (problems.empty()) {
-            const Json node = config::stand_alone(loaded.file, problems);
-            if (problems.empty()) loaded.config = read_config(node);
+            Json node = config::stand_alone(loaded.file, problems);
+            if (problems.empty()) loaded.config = read_config(std::move(node));
         }
         if (!problems.empty()) return std::nullopt;
         config::apply_limits(loaded.file, loaded.config);
