--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -44,9 +44,12 @@
 double longest_turn_ms(Node& node) {
     node.terminate();
     node.wait();
-    const std::string log = node.log(), mark = "the longest turn of decisions took ";
-    const auto at = log.rfind(mark);
-    return at == std::string::npos ? 0 : std::stod(log.substr(at + mark.size())) / 1000;
+    const std::string log = node.log();
+    // the second is how builds before structured logging say it
+    for (const std::string mark : {"longest_turn_us=", "the longest turn of decisions took "})
+        if (const auto at = log.rfind(mark); at != std::string::npos)
+            return std::stod(log.substr(at + mark.size())) / 1000;
+    return 0;
 }
 
 Row run(const std::string& program, std::size_t destinations, std::size_t held, std::size_t connections,
