--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -218,6 +218,10 @@
 using Action = std::variant<Send, CancelAttempt, Refuse, Fail, SetTimer, Probe, CloseIdle, TellPeers, Watch,
     FetchList, Log, Forget>;
 
+namespace policy {
+struct State;
+}
+
 /// The decisions of one sender. Feed every event to observe(), then call decide() once for the batch and
 /// carry out the actions in order. Late or unknown message ids are passed over.
 class Sender {
@@ -231,6 +235,8 @@
     /// Throws std::invalid_argument where an event names a class, tenant, zone or kind not in the Settings.
     void observe(const Event& event, Time now);
     std::vector<Action> decide(Time now);
+    /// All that it knows between decisions (src/policy/state.hpp), for whoever keeps or shows it.
+    policy::State& state();
 
 private:
     class Logic;
--- a/src/background/worker.hpp
+++ b/src/background/worker.hpp
@@ -46,6 +46,12 @@
         thread_.stop();
         thread_.join();
     }
+    /// Waits for all jobs, also for those that wait. No `done` is called, and no job taken any more.
+    void finish() {
+        *here_ = false;
+        most_ = 0;
+        thread_.join();
+    }
 
     /// Jobs that wait or run, or whose `done` is still to be called.
     std::size_t out() const { return out_; }
--- /dev/null
+++ b/src/capture/memory.cpp
@@ -0,0 +1,139 @@
+// Pointers between the parts are not written: they are found anew by the numbers beside them. A destination's
+// place in an order is written as which of the orders it is.
+#include "capture/memory.hpp"
+
+#include <array>
+
+#include "capture/words.hpp"
+#include "policy/state.hpp"
+
+namespace cometspoke::policy {
+
+template <class Archive>
+void describe(Archive& a, Route& r) {
+    a(r.wait_until)(r.limit_tag)(r.known)(r.gain)(r.refusals);
+}
+template <class Archive>
+void describe(Archive& a, Endpoint& e) {
+    a(e.destination)(e.zone)(e.kind)(e.condition)(e.own)(e.in_flight)(e.idle)(e.used)(e.heard)(e.often);
+    a(e.named)(e.health)(e.failure_seen)(e.failing)(e.refused_row)(e.last_good)(e.refused_at)(e.lost_at);
+    a(e.unconnected_at)(e.fell)(e.knowing)(e.returned)(e.cold_tag);
+}
+template <class Archive>
+void describe(Archive& a, Destination& d) {
+    a(d.shared)(d.endpoints)(d.held)(d.held_of)(d.ready)(d.named)(d.parked)(d.weight)(d.reservation_tag);
+    a(d.share_tag)(d.in_flight)(d.usual)(d.asked)(d.asked_at)(d.served_rate)(d.last_served);
+}
+template <class Archive>
+void describe(Archive& a, Message& m) {
+    a(m.message_class)(m.destination)(m.arrival)(m.key)(m.born)(m.deadline)(m.not_before)(m.over_share);
+    a(m.attempts)(m.route)(m.out)(m.doubt_since)(m.doubt_at)(m.ready);
+}
+template <class Archive>
+void describe(Archive& a, Call& c) {
+    a(c.endpoint)(c.sent)(c.out)(c.judged)(c.overtaken);
+}
+template <class Archive>
+void describe(Archive& a, Attempt& t) {
+    a(t.call)(t.key)(t.dropped);
+}
+template <class Archive>
+void describe(Archive& a, KeyLine& k) {
+    a(k.turn)(k.out)(k.rest_until)(k.rest_for);
+}
+
+/// What is neither set by the settings nor found anew. Actions are empty between decisions.
+template <class Archive>
+void describe(Archive& a, State& s) {
+    a(s.settings_)(s.random_)(s.destinations_)(s.by_share_)(s.well_)(s.sick_idle_)(s.sick_busy_);
+    a(s.share_shift_)(s.by_held_)(s.unnamed_)(s.ends_)(s.pauses_)(s.rests_)(s.stale_lines_)(s.dues_);
+    a(s.doubts_)(s.looked_at_)(s.sick_calls_)(s.watch_tries_)(s.endpoints_)(s.messages_)(s.keys_);
+    a(s.attempts_)(s.calls_)(s.quota_tags_)(s.unconnected_)(s.freed_)(s.routes_)(s.gone_)(s.arrivals_);
+    a(s.call_count_)(s.overall_usual_)(s.reserved_)(s.watch_at_)(s.timer_at_)(s.tidy_at_);
+}
+
+}  // namespace cometspoke::policy
+
+namespace lockgw {
+
+template <class Archive, class Key, class When>
+void describe(Archive& a, DueQueue<Key, When>& queue) {
+    queue.members(a);
+}
+template <class Archive, class Group, class Item, class Birth>
+void describe(Archive& a, Lines<Group, Item, Birth>& lines) {
+    lines.members(a);
+}
+template <class Archive, class Line>
+auto describe(Archive& a, Line& line) -> decltype(line.by_arrival, line.by_birth, void()) {
+    a(line.by_arrival)(line.by_birth);
+}
+
+}  // namespace lockgw
+
+namespace lockgw::capture {
+namespace {
+
+using cometspoke::DestinationId;
+using cometspoke::policy::Order;
+using cometspoke::policy::State;
+
+std::array<Order*, 3> orders_of(State& state) { return {&state.well_, &state.sick_idle_, &state.sick_busy_}; }
+
+/// The orders in which destinations stand, by their numbers.
+std::map<DestinationId, int> placed(State& state) {
+    std::map<DestinationId, int> all;
+    const auto orders = orders_of(state);
+    for (const auto& [id, destination] : state.destinations_)
+        for (std::size_t i = 0; i < orders.size(); ++i)
+            if (destination.order == orders[i]) all[id] = static_cast<int>(i);
+    return all;
+}
+
+void reconnect(
+    State& state, const std::map<DestinationId, int>& places, const std::set<DestinationId>& active) {
+    const auto orders = orders_of(state);
+    for (auto& [id, destination] : state.destinations_) {
+        const auto place = places.find(id);
+        destination.order =
+            place == places.end() ? nullptr : orders.at(static_cast<std::size_t>(place->second));
+    }
+    for (auto& [id, endpoint] : state.endpoints_)
+        endpoint.home = &state.destinations_.at(endpoint.destination);
+    for (auto& [id, call] : state.calls_) call.at = &state.endpoints_.at(call.endpoint);
+    state.active_.clear();
+    for (const DestinationId id : active) state.active_.emplace(id, &state.destinations_.at(id));
+}
+
+}  // namespace
+
+std::string memory_of(cometspoke::Sender& sender) {
+    State& state = sender.state();
+    msgpack::sbuffer buffer;
+    Out out(buffer);
+    auto places = placed(state);
+    std::set<DestinationId> active;
+    for (const auto& [id, destination] : state.active_) active.insert(id);
+    out.packer().pack_array(3);
+    out(state)(places)(active);
+    return {buffer.data(), buffer.size()};
+}
+
+void remember(cometspoke::Sender& sender, std::string_view memory) try {
+    const msgpack::object_handle handle = msgpack::unpack(memory.data(), memory.size());
+    const msgpack::object& all = handle.get();
+    if (all.type != msgpack::type::ARRAY || all.via.array.size != 3)
+        throw BadCapture("no memory of a module");
+    State& state = sender.state();
+    In members(all);
+    std::map<DestinationId, int> places;
+    std::set<DestinationId> active;
+    members(state)(places)(active);
+    reconnect(state, places, active);
+} catch (const BadCapture&) {
+    throw;
+} catch (const std::exception& bad) {
+    throw BadCapture(std::string("the memory of the module: ") + bad.what());
+}
+
+}  // namespace lockgw::capture
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/address.hpp"
+#include "config/capture_row.hpp"
 #include "config/door_row.hpp"
 #include "config/settings.hpp"
 #include "logging/log.hpp"
@@ -39,6 +40,7 @@
     std::chrono::milliseconds connect_timeout{1000};
     config::DoorRow door;
     log::Settings log;
+    std::optional<config::CaptureRow> capture;
     bool reports = false;  ///< answers may carry load reports
 };
 
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -63,6 +63,7 @@
         root_.table("limits", [this](TableReader& table) { limits(table); });
         root_.table("door", [this](TableReader& table) { door(table); });
         root_.table("log", [this](TableReader& table) { log_settings(table); });
+        root_.table("capture", [this](TableReader& table) { capture(table); });
         if (auto zones = root_.words("zones")) file_.zones = std::move(*zones);
         for (const Word& zone : file_.zones) zone_names_.add(zone);
         root_.tables("class", [this](TableReader& table) { message_class(table); });
@@ -143,6 +144,17 @@
         if (const auto form = table.one_of("form", {"text", "json"}))
             log::form_of(form->text, file_.log.form);
     }
+    void capture(TableReader& table) {
+        CaptureRow row;
+        row.folder = table.text("folder", "");
+        row.disk_mb = table.number("disk_mb", 1, 1e6).value_or(row.disk_mb);
+        row.segment_mb =
+            table.number("segment_mb", 0.05, 1000).value_or(std::min(row.segment_mb, row.disk_mb / 4));
+        if (row.segment_mb > row.disk_mb / 3)
+            table.problem(table.place("segment_mb"), "out-of-range",
+                "segment_mb; write a third of disk_mb at most: the oldest segment goes for the next");
+        file_.capture = std::move(row);
+    }
     void message_class(TableReader& table) {
         ClassRow row;
         row.name = table.needed_word("name");
--- a/src/config/operator_file.hpp
+++ b/src/config/operator_file.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/condition.hpp"
+#include "config/capture_row.hpp"
 #include "config/door_row.hpp"
 #include "config/toml_reader.hpp"
 #include "logging/log.hpp"
@@ -90,6 +91,7 @@
     LimitsRow limits;
     DoorRow door;
     log::Settings log;
+    std::optional<CaptureRow> capture;
     std::vector<Word> zones;
     std::vector<ClassRow> classes;
     std::vector<TenantRow> tenants;
--- a/src/config/stand_alone.cpp
+++ b/src/config/stand_alone.cpp
@@ -136,6 +136,7 @@
             std::min(config.connect_timeout, std::chrono::milliseconds(*limits.connect_timeout_ms));
     config.door = file.door;
     config.log = file.log;
+    config.capture = file.capture;
 }
 
 }  // namespace lockgw::config
--- a/src/containers/due_queue.hpp
+++ b/src/containers/due_queue.hpp
@@ -54,6 +54,12 @@
         return all;
     }
 
+    /// For whoever keeps it elsewhere: an archive takes its members one by one.
+    template <class Archive>
+    void members(Archive& archive) {
+        archive(order_)(when_);
+    }
+
 private:
     std::set<std::pair<When, Key>> order_;
     std::unordered_map<Key, When> when_;
--- a/src/containers/lines.hpp
+++ b/src/containers/lines.hpp
@@ -67,6 +67,12 @@
             if (!look(item)) return;
     }
 
+    /// For whoever keeps it elsewhere: an archive takes its members one by one.
+    template <class Archive>
+    void members(Archive& archive) {
+        archive(lines_)(size_);
+    }
+
 private:
     struct Line {
         std::map<Arrival, Item> by_arrival;
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -45,6 +45,26 @@
     return names;
 }
 
+std::unique_ptr<capture::Recorder> recorder_of(
+    asio::io_context& io, const Config& config, cometspoke::Sender& module) {
+    if (!config.capture) return nullptr;
+    const auto names = [](const cometspoke::settings::Index& index) {
+        std::vector<std::string> all(index.size());
+        for (const auto& [name, place] : index) all.at(place) = name;
+        return all;
+    };
+    const auto bytes = [](double megabytes) { return static_cast<std::size_t>(megabytes * 1024 * 1024); };
+    capture::RecorderSettings settings;
+    settings.folder = config.capture->folder.empty() ? config.state / "capture"
+                                                     : std::filesystem::path(config.capture->folder);
+    settings.disk_bytes = bytes(config.capture->disk_mb);
+    settings.segment_bytes = bytes(config.capture->segment_mb);
+    return std::make_unique<capture::Recorder>(io, settings,
+        capture::About{LOCKGW_VERSION, names(config.names.classes), names(config.names.tenants),
+            names(config.names.kinds)},
+        module);
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -56,6 +76,7 @@
       config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
       sender_(config_.settings, config_.seed),
+      recorder_(recorder_of(io, config_, sender_)),
       routes_(std::move(routes)),
       delivery_(protocols.delivery(
           io, config_, most_target_connections(config_),
@@ -129,6 +150,7 @@
     for (const Target& target : told.targets) {
         const auto endpoint = directory_.find(target.id);
         if (!endpoint) continue;  // it went before it was ever listed here
+        if (recorder_) recorder_->named(*endpoint, target.id);
         ListEntry entry;
         if (!target.zone.empty()) entry.zone = config_.names.zones.at(target.zone);
         if (!target.kind.empty()) entry.kind = config_.names.kinds.at(target.kind);
@@ -211,9 +233,15 @@
 
 /// All that happens in one turn of the loop is told before the one decision on it.
 void Forwarder::observe(const Event& event) {
-    sender_.observe(event, now());
+    tell_module(event);
     open_turn();
 }
+/// The one place where the module is told anything.
+void Forwarder::tell_module(const Event& event) {
+    const Time at = now();
+    sender_.observe(event, at);
+    if (recorder_) recorder_->observed(event, at);
+}
 void Forwarder::open_turn() {
     if (std::exchange(turn_due_, true)) return;
     journal_.begin_turn();
@@ -228,7 +256,9 @@
 /// First everything that was decided is in the journal, by one write; then it is done.
 void Forwarder::decide_and_act() {
     turn_due_ = false;
-    const std::vector<Action> actions = sender_.decide(now());
+    const Time at = now();
+    const std::vector<Action> actions = sender_.decide(at);
+    if (recorder_) recorder_->decided(at, actions);
     auto replies = take_on(actions);
     std::vector<Recorded> recorded(actions.size());
     for (std::size_t i = 0; i < actions.size(); ++i) guarded([&] { recorded[i] = record(actions[i]); });
@@ -253,7 +283,7 @@
         if (replies.contains(id)) continue;
         const bool taken = journal_.take_on(newcomer.message);
         replies.emplace(id, taken ? Reply::taken() : Reply::busy(kRoomWait));
-        if (!taken) sender_.observe(AbandonedEvent{id}, now());
+        if (!taken) tell_module(AbandonedEvent{id});
     }
     return replies;
 }
@@ -291,7 +321,7 @@
         if (reply.kind != Reply::Kind::Taken) continue;
         journal_.withdraw(id);
         reply = Reply::busy(kRoomWait);
-        sender_.observe(AbandonedEvent{id}, now());
+        tell_module(AbandonedEvent{id});
     }
 }
 
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "capture/recorder.hpp"
 #include "config/config.hpp"
 #include "core/delivery.hpp"
 #include "core/front.hpp"
@@ -61,6 +62,7 @@
     bool give_descriptor() override { return delivery_->close_one(); }
     void outcome(const cometspoke::OutcomeEvent& event);
     void observe(const cometspoke::Event& event);
+    void tell_module(const cometspoke::Event& event);
     void turn();
     void decide_and_act();
     using Replies = std::map<MessageId, Reply>;
@@ -99,6 +101,7 @@
     const Config config_;
     Journal journal_;
     cometspoke::Sender sender_;
+    std::unique_ptr<capture::Recorder> recorder_;  // none: nothing is captured
     Directory directory_;
     routes::Table routes_;
     routes::Members members_;  // as listed, by destination
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -95,9 +95,9 @@
     void tell(const Member& member, Update& update) const;
 
     std::set<std::string> zones_, kinds_;
-    Members members_;                               // those not gone
+    Members members_;                                     // those not gone
     std::set<std::pair<Tcp::endpoint, std::string>> at_;  // Ready ones by address: many may share one
-    std::set<std::string> stopped_;                 // ids of members that are stopped, or were
+    std::set<std::string> stopped_;                       // ids of members that are stopped, or were
     std::uint64_t epoch_ = 0;
     std::optional<std::int64_t> revision_;
     bool whole_needed_ = true, whole_ = false;
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -2,8 +2,7 @@
 //
 // The ordinary path is mClock's tag scheduler: a destination stands for a virtual machine, the slots for the
 // queue depth. R, L, P: tags of a destination's head. All else acts only under the condition that its comment
-// names. Each layer stands on the one before: state, tags, health, messages, room, turns, and here the
-// events.
+// names. Each layer stands on the one before: state, tags, health, messages, room, turns, events (here).
 #include <stdexcept>
 
 #include "base/checked_settings.hpp"
@@ -13,7 +12,7 @@
 
 using namespace policy;
 
-class Sender::Logic : Turns {
+class Sender::Logic : public Turns {
 public:
     using Turns::Turns;
 
@@ -220,5 +219,6 @@
     std::visit([&](const auto& one) { logic_->take(one, now); }, event);
 }
 std::vector<Action> Sender::decide(Time now) { return logic_->decide(now); }
+policy::State& Sender::state() { return *logic_; }
 
 }  // namespace cometspoke
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -15,6 +15,16 @@
 int compare_files(const Sources& sources, const std::string& newer, bool json);
 int print_routes(const Sources& sources, bool json);
 int print_version();
+/// Segments of a capture, in a folder or one file.
+int list_captures(const std::string& folder, bool json);
+struct ReplayWish {
+    std::string path;               ///< a segment, or a folder of them
+    std::string why;                ///< the story of this instead
+    std::vector<std::string> sets;  ///< "slots=16": what if
+    bool json = false;
+};
+/// 1 where a decision differs.
+int replay_capture(const ReplayWish& wish);
 
 /// Of a running process, over its control socket.
 constexpr const char* kSocketName = "control";  ///< in the folder that lasts
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -64,6 +64,22 @@
     }
     run->add_option("--control", socket, "path of the control socket; by default in the folder that lasts");
 
+    CLI::App* captures = app.add_subcommand("capture", "what was captured");
+    captures->require_subcommand(1);
+    CLI::App* list = captures->add_subcommand("list", "the segments of a folder");
+    std::string folder;
+    list->add_option("FOLDER", folder, "the folder of the capture")->required()->check(CLI::ExistingPath);
+    list->add_flag("--json", json, "for programs");
+    ReplayWish wish;
+    CLI::App* replay =
+        app.add_subcommand("replay", "decide what was captured once more, and say where it differs");
+    replay->add_option("PATH", wish.path, "a segment, or a folder of them")
+        ->required()
+        ->check(CLI::ExistingPath);
+    replay->add_option("--why", wish.why, "the story of a message, a destination or an endpoint instead");
+    replay->add_option("--set", wish.sets, "NAME=NUMBER: what if this setting had been so");
+    replay->add_flag("--json", wish.json, "for programs");
+
     CLI::App* version = app.add_subcommand("version", "print the version");
 
     try {
@@ -72,6 +88,8 @@
         return app.exit(wrong) == 0 ? kWell : kUsage;
     }
     if (version->parsed()) return print_version();
+    if (list->parsed()) return list_captures(folder, json);
+    if (replay->parsed()) return replay_capture(wish);
     if (check->parsed())
         return newer.empty() ? check_file(sources, json) : compare_files(sources, newer, json);
     if (socket.empty() && !sources.state.empty() && !run->parsed())
--- /dev/null
+++ b/tests/capture_program_test.cpp
@@ -0,0 +1,113 @@
+// Capture of the built program under faults, drains, reloads, a stop and a kill: each segment is decided
+// alike.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "capture/replay.hpp"
+#include "capture/story.hpp"
+#include "control/client.hpp"
+#include "membership_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+class CaptureProgram : public MembershipTest {
+protected:
+    CaptureProgram() : MembershipTest(4) {
+        node.config()["settings"]["limits"]["most_held"] = 200;
+        std::ofstream(node.folder() / "operator.toml") << "[capture]\ndisk_mb = 4\nsegment_mb = 0.1\n";
+        node.set_environment("LOCKGW_CONFIG", (node.folder() / "operator.toml").string());
+    }
+    std::size_t pick(std::size_t below) { return random() % below; }
+    void new_moods() {
+        for (std::size_t target = 0; target < 4; ++target) {
+            rig::CallScript script;
+            script.delay = std::chrono::milliseconds(pick(30));
+            script.status = std::array{200, 200, 429, 500}[pick(4)];
+            if (script.status == 429) script.headers = "Retry-After-Ms: 150\r\n";
+            script.kind = pick(6) == 0 ? rig::CallScript::Kind::Reset : rig::CallScript::Kind::Answer;
+            targets.usual(target, script);
+        }
+    }
+    /// Clients beside one another, with moods and drains that change meanwhile.
+    void traffic(int rounds, int each) {
+        for (int round = 0; round < rounds; ++round) {
+            new_moods();
+            directory.put(member("s-1", 0, 7, pick(2) == 0 ? "terminating" : "in_service"));
+            std::vector<std::thread> clients;
+            for (int client = 0; client < 4; ++client)
+                clients.emplace_back([this, client, each, base = ++base_] {
+                    Client connection = node.client();
+                    for (int i = 0; i < each; ++i) {
+                        char id[17];
+                        std::snprintf(id, sizeof id, "%016x",
+                            (base << 16) + static_cast<unsigned>(client) * 4096 + static_cast<unsigned>(i));
+                        enqueue(connection, id, std::array{"safe", "keyed", "unsafe"}[i % 3], 7 + client % 2,
+                            300 + 20 * i);
+                    }
+                });
+            for (std::thread& client : clients) client.join();
+        }
+    }
+    std::vector<std::filesystem::path> segments() const {
+        std::vector<std::filesystem::path> all;
+        for (const auto& entry : std::filesystem::directory_iterator(node.state() / "capture"))
+            all.push_back(entry.path());
+        std::sort(all.begin(), all.end());
+        return all;
+    }
+
+    std::mt19937 random{20261201};
+    unsigned base_ = 0x100;
+};
+
+TEST_F(CaptureProgram, IsDecidedAlikeSegmentBySegment) {
+    start_with({member("s-1", 0), member("s-2", 1), member("s-3", 2, 8), member("s-4", 3, 8)});
+    traffic(8, 60);
+    control::ask(node.state() / "control", "reload");
+    node.terminate();
+    EXPECT_EQ(node.wait(), 0) << node.log();
+    node.start_ready();  // what is owed is taken up, as events
+    traffic(8, 60);
+    node.kill();
+    node.wait();
+    std::size_t batches = 0, sends = 0, starts = 0;
+    const auto files = segments();
+    ASSERT_GE(files.size(), 3u);
+    for (const auto& path : files) {
+        const auto segment = capture::read_segment(path);
+        ASSERT_TRUE(segment.head) << path;
+        starts += segment.head->why == "start";
+        EXPECT_EQ(segment.whole(), segment.batches.size()) << path;
+        EXPECT_LE(segment.damage.size(), path == files.back() ? 1u : 0u) << path;
+        const auto difference = capture::first_difference(segment);
+        EXPECT_FALSE(difference) << path << " batch " << difference->number;
+        batches += segment.batches.size();
+        for (const auto& batch : segment.batches)
+            for (const auto& action : batch.actions)
+                sends += std::holds_alternative<cometspoke::Send>(action);
+    }
+    EXPECT_EQ(starts, 2u);
+    EXPECT_GT(batches, 2000u);
+    EXPECT_GT(sends, 50u);
+}
+
+TEST_F(CaptureProgram, SaysWhereAMessageWent) {
+    start_with({member("s-1", 0)});
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, "00000000000abcde"), "+OK");
+    ASSERT_TRUE(targets.wait_calls(1, kDeadline));
+    node.terminate();
+    node.wait();
+    const auto segment = capture::read_segment(segments().front());
+    std::string all;
+    for (const auto& line : capture::story_of(segment, *capture::subject_of(segment, "00000000000abcde")))
+        all += line.text + '\n';
+    EXPECT_NE(all.find("taken: class safe, destination 7"), std::string::npos) << all;
+    EXPECT_NE(all.find("sent 00000000000abcde to s-1"), std::string::npos) << all;
+    EXPECT_NE(all.find("at s-1: served"), std::string::npos) << all;
+}
+
+}  // namespace
+}  // namespace lockgw
--- /dev/null
+++ b/tests/capture_test.cpp
@@ -0,0 +1,308 @@
+// Captures: a module that remembers what another knew decides as that one; what was written down is decided
+// alike; damage is named, and the disk that is full, slow or gone keeps nobody.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "capture/archive.hpp"
+#include "capture/memory.hpp"
+#include "capture/recorder.hpp"
+#include "capture/replay.hpp"
+#include "capture/segment.hpp"
+#include "capture/story.hpp"
+#include "random_traffic.hpp"
+
+namespace cometspoke::testing {
+namespace {
+
+namespace capture = lockgw::capture;
+namespace fs = std::filesystem;
+using namespace std::chrono_literals;
+
+/// A module that loses all its memory every few batches, and gets it back from bytes.
+class Forgetful {
+public:
+    Forgetful(const Settings& settings, std::uint64_t seed) : settings_(settings), module_(settings, seed) {}
+    void observe(const Event& event, Time now) { module_.observe(event, now); }
+    std::vector<Action> decide(Time now) {
+        auto actions = module_.decide(now);
+        if (++batches_ % 7 == 0) {
+            const std::string memory = capture::memory_of(module_);
+            module_ = Sender(settings_, 0);
+            capture::remember(module_, memory);
+        }
+        return actions;
+    }
+
+private:
+    Settings settings_;
+    Sender module_;
+    std::size_t batches_ = 0;
+};
+
+/// A module whose whole life is written down, from a batch in the middle on.
+class WrittenDown {
+public:
+    WrittenDown(const Settings& settings, std::uint64_t seed) : module_(settings, seed) {}
+    void observe(const Event& event, Time now) {
+        module_.observe(event, now);
+        if (!bytes_.empty()) batch_.event(event, now);
+    }
+    std::vector<Action> decide(Time now) {
+        auto actions = module_.decide(now);
+        if (!bytes_.empty())
+            bytes_ += capture::frame(capture::RecordKind::Batch, batch_.finish(number_, now, actions));
+        if (++number_ == kFrom) {
+            capture::Head head;
+            head.first = number_;
+            head.steady = now;
+            head.memory = capture::memory_of(module_);
+            bytes_ = capture::magic() + capture::frame(capture::RecordKind::Head, capture::bytes_of(head));
+        }
+        return actions;
+    }
+    const std::string& bytes() const { return bytes_; }
+
+private:
+    static constexpr std::uint64_t kFrom = 40;
+    Sender module_;
+    std::string bytes_;
+    capture::BatchWriter batch_;
+    std::uint64_t number_ = 0;
+};
+
+class Captured : public ::testing::TestWithParam<Variant> {};
+INSTANTIATE_TEST_SUITE_P(Capture, Captured, ::testing::ValuesIn(variants()),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST_P(Captured, AMemoryIsAllThatThereIs) {
+    const Seeds seeds(20);
+    for (std::uint64_t seed = seeds.first; seed < seeds.last; ++seed) {
+        Both<Forgetful> both(GetParam(), seed);
+        std::string told;
+        ASSERT_TRUE(both.run(250, told)) << "seed " << seed << ": " << told;
+    }
+}
+
+TEST_P(Captured, IsDecidedAlike) {
+    const Seeds seeds(20);
+    for (std::uint64_t seed = seeds.first; seed < seeds.last; ++seed) {
+        Both<WrittenDown> both(GetParam(), seed);
+        std::string told;
+        ASSERT_TRUE(both.run(250, told)) << "seed " << seed << ": " << told;
+        const auto segment = capture::segment_of(both.other().bytes());
+        EXPECT_TRUE(segment.damage.empty());
+        ASSERT_EQ(segment.whole(), 210u) << "seed " << seed;
+        const auto difference = capture::first_difference(segment);
+        ASSERT_FALSE(difference) << "seed " << seed << ", batch " << difference->number << difference->failed;
+    }
+}
+
+class CaptureFile : public ::testing::Test {
+protected:
+    CaptureFile() {
+        static const Variant usual{"usual", [](Settings&) {}, 0.6};
+        Both<WrittenDown> both(usual, 7);
+        std::string told;
+        EXPECT_TRUE(both.run(100, told)) << told;
+        bytes = both.other().bytes();
+    }
+    std::string bytes;
+};
+
+// A lost batch is "missing", not "never came": what stands behind it is not replayed as if nothing were.
+TEST_F(CaptureFile, NamesWhatIsDamagedAndTrustsNothingBehindIt) {
+    const auto sound = capture::segment_of(bytes);
+    ASSERT_EQ(sound.whole(), 60u);
+    const std::size_t head_end =
+        capture::magic().size() +
+        capture::frame(capture::RecordKind::Head, capture::bytes_of(*sound.head)).size();
+    std::mt19937 random(3);
+    for (int i = 0; i < 300; ++i) {
+        std::string spoilt = bytes;
+        const std::size_t at = head_end + random() % (bytes.size() - head_end);
+        spoilt[at] = static_cast<char>(spoilt[at] ^ (1 << random() % 8));
+        const auto segment = capture::segment_of(spoilt);
+        ASSERT_EQ(segment.damage.size(), 1u) << at;
+        EXPECT_LE(segment.damage[0].at, at);
+        EXPECT_GT(segment.damage[0].at + segment.damage[0].bytes, at);
+        EXPECT_EQ(segment.batches.size(), 59u) << at;
+        EXPECT_LT(segment.whole(), 60u);
+        EXPECT_FALSE(capture::first_difference(segment)) << at;
+    }
+}
+
+TEST_F(CaptureFile, CutAtAnyByteKeepsWhatStoodBefore) {
+    std::size_t before = 0;
+    for (std::size_t length = 0; length < bytes.size(); length += 3) {
+        try {
+            const auto segment = capture::segment_of(std::string_view(bytes).substr(0, length));
+            EXPECT_GE(segment.whole(), before);
+            before = segment.whole();
+            EXPECT_FALSE(segment.head && length % 99 == 0 && capture::first_difference(segment)) << length;
+        } catch (const capture::BadCapture&) {
+            EXPECT_LT(length, capture::magic().size());  // it does not even say what it is
+        }
+    }
+    EXPECT_EQ(before, 59u);
+}
+
+TEST_F(CaptureFile, BearsAnyBytes) {
+    std::mt19937 random(11);
+    const std::string magic = capture::magic();
+    for (int i = 0; i < 300; ++i) {
+        std::string nonsense = bytes.substr(0, magic.size() + random() % 3000);
+        for (int n = 0; n < 40; ++n)
+            nonsense[magic.size() + random() % (nonsense.size() - magic.size() + 1) % nonsense.size()] =
+                static_cast<char>(random());
+        try {
+            const auto segment = capture::segment_of(nonsense);
+            if (segment.head) capture::first_difference(segment);
+        } catch (const capture::BadCapture&) {
+        }
+        // and records that fit their checksum, but are nonsense themselves
+        std::string record(random() % 60, '\0');
+        for (char& byte : record) byte = static_cast<char>(random());
+        for (const auto kind :
+            {capture::RecordKind::Head, capture::RecordKind::Batch, capture::RecordKind::Named})
+            EXPECT_NO_THROW(capture::segment_of(magic + capture::frame(kind, record)));
+    }
+}
+
+TEST_F(CaptureFile, RefusesANewerFormatAndWhatIsNone) {
+    EXPECT_THROW(capture::segment_of("lockgw capture 2\nabc"), capture::BadCapture);
+    EXPECT_THROW(capture::segment_of("something else"), capture::BadCapture);
+    capture::Segment headless = capture::segment_of(capture::magic());
+    EXPECT_THROW(capture::Replay{headless}, capture::BadCapture);
+}
+
+// What a decision was made of stands in the file: another setting, and it is another decision.
+TEST_F(CaptureFile, ASettingChangedIsADifference) {
+    const auto segment = capture::segment_of(bytes);
+    const auto difference =
+        capture::first_difference(segment, [](Settings& settings) { settings.slots = 1; });
+    ASSERT_TRUE(difference);
+    EXPECT_NE(capture::bytes_of(difference->then), capture::bytes_of(difference->now));
+}
+
+TEST_F(CaptureFile, TellsTheStoryOfAMessage) {
+    const auto segment = capture::segment_of(bytes);
+    std::optional<MessageId> sent;
+    for (const auto& batch : segment.batches)
+        for (const auto& action : batch.actions)
+            if (const auto* one = std::get_if<Send>(&action); one && !sent) sent = one->message;
+    ASSERT_TRUE(sent);
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(*sent));
+    const auto subject = capture::subject_of(segment, id);
+    ASSERT_TRUE(subject);
+    std::string all;
+    for (const auto& line : capture::story_of(segment, *subject)) all += line.text + "\n";
+    EXPECT_NE(all.find("sent " + std::string(id)), std::string::npos) << all;
+    EXPECT_FALSE(capture::subject_of(segment, "nobody"));
+    EXPECT_LE(capture::story_of(segment, *capture::subject_of(segment, "3"), 5).size(), 5u);
+}
+
+class RecorderTest : public ::testing::Test {
+protected:
+    RecorderTest() : folder(fs::temp_directory_path() / ("lockgw-capture-" + std::to_string(::getpid()))) {
+        fs::remove_all(folder);
+        settings.folder = folder / "capture";
+        settings.segment_bytes = 20'000;
+        settings.disk_bytes = 200'000;
+        settings.flush = 5ms;
+        settings.retry = 20ms;
+    }
+    ~RecorderTest() override { fs::remove_all(folder); }
+
+    /// So many batches of one message each.
+    void batches(capture::Recorder& recorder, int count) {
+        for (int i = 0; i < count; ++i) {
+            now += ms(10);
+            MessageEvent event;
+            event.message = ++id;
+            event.destination = 1;
+            event.left = ms(500);
+            module.observe(event, now);
+            recorder.observed(event, now);
+            recorder.decided(now, module.decide(now));
+            if (i % 50 == 0) io.run_for(1ms);
+        }
+        settle();
+    }
+    void settle() {
+        io.restart();
+        io.run_for(60ms);
+    }
+    std::vector<fs::path> files() const {
+        std::vector<fs::path> all;
+        for (const auto& entry : fs::directory_iterator(settings.folder)) all.push_back(entry.path());
+        std::sort(all.begin(), all.end());
+        return all;
+    }
+    std::size_t bytes() const {
+        std::size_t all = 0;
+        for (const auto& path : files()) all += fs::file_size(path);
+        return all;
+    }
+
+    boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> stays{io.get_executor()};
+    fs::path folder;
+    capture::RecorderSettings settings;
+    Sender module{make_settings(), 1};
+    Time now = ms(1000);
+    MessageId id = 0;
+};
+
+TEST_F(RecorderTest, EverySegmentOfTheRingStandsByItself) {
+    {
+        capture::Recorder recorder(io, settings, {"test", {}, {}, {}}, module);
+        for (int round = 0; round < 20; ++round) {
+            batches(recorder, 400);
+            EXPECT_LE(bytes(), settings.disk_bytes);
+        }
+        EXPECT_EQ(recorder.counters().lost_batches, 0u);
+    }
+    ASSERT_GE(files().size(), 3u);
+    EXPECT_GT(capture::read_head(files().front())->first, 0u);  // the oldest are gone
+    std::uint64_t next = capture::read_head(files().front())->first;
+    for (const auto& path : files()) {
+        const auto segment = capture::read_segment(path);
+        EXPECT_TRUE(segment.damage.empty()) << path;
+        EXPECT_EQ(segment.head->first, next) << path;
+        EXPECT_EQ(segment.whole(), segment.batches.size());
+        EXPECT_FALSE(capture::first_difference(segment)) << path;
+        next += segment.batches.size();
+    }
+    EXPECT_EQ(next, 8000u);
+}
+
+// The folder goes away and comes back: what was lost meanwhile is told by number, and nothing else is
+// missing.
+TEST_F(RecorderTest, TellsWhatADiskThatFailedLost) {
+    {
+        capture::Recorder recorder(io, settings, {"test", {}, {}, {}}, module);
+        batches(recorder, 300);
+        fs::remove_all(settings.folder);
+        std::ofstream(settings.folder) << "in the way";
+        for (int i = 0; i < 20 && !recorder.failing(); ++i) batches(recorder, 400);
+        ASSERT_TRUE(recorder.failing());
+        fs::remove(settings.folder);
+        fs::create_directory(settings.folder);
+        for (int i = 0; i < 50 && recorder.failing(); ++i)
+            batches(recorder, 10), std::this_thread::sleep_for(5ms);
+        ASSERT_FALSE(recorder.failing());
+        EXPECT_GT(recorder.counters().lost_batches, 0u);
+        batches(recorder, 100);
+    }
+    const auto segment = capture::read_segment(files().front());
+    EXPECT_TRUE(segment.head->why.starts_with("lost ")) << segment.head->why;
+    EXPECT_FALSE(capture::first_difference(segment));
+    EXPECT_EQ(segment.whole(), segment.batches.size());
+}
+
+}  // namespace
+}  // namespace cometspoke::testing
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -48,8 +48,8 @@
         rig::ListFault{Kind::Reset, 250}, rig::ListFault{Kind::NoJson, 250},
         rig::ListFault{Kind::Trickle, 40, 40ms}, rig::ListFault{Kind::Interim}, rig::ListFault{Kind::Twice}));
 
-// A list so long that it is read beside the loop, and in which thousands share an address: the drains in it and in what comes of it count as ever, and
-// one that cannot be read is asked for again, after pauses.
+// A list so long that it is read beside the loop, and in which thousands share an address: the drains in it
+// and in what comes of it count as ever, and one that cannot be read is asked for again, after pauses.
 TEST_F(MembershipTest, HeedsAListThatIsReadBesideTheLoop) {
     std::vector<Json> many{member("s-1", 0), member("s-2", 1)};
     for (int i = 0; i < 3000; ++i) many.push_back(member("x-" + std::to_string(i), 2, 1000 + i));
