Deliveries keep a descriptor of their own: newcomers at the door no longer starve calls

Cause of DescriptorsTest.ATargetIsNotBlamedForWantOfDescriptorsHere on a busy machine, left untraced before: with no descriptor left the door had the idle connection to a target closed for each newcomer, so that a call found none, ended as not sent, and used up the message's attempts: it ended dead though its target was well.

Change: one descriptor is the deliveries' at any instant: out with a call, idle, or spare. The door gets what is beyond it.

--- a/src/base/spare_descriptor.hpp
+++ b/src/base/spare_descriptor.hpp
@@ -28,6 +28,7 @@
         ::close(std::exchange(fd_, -1));
         return true;
     }
+    bool held() const { return fd_ >= 0; }
     /// Keeps one again, where one is to be had.
     void take() {
         if (fd_ < 0) fd_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -9,7 +9,6 @@
 #include <optional>
 #include <utility>
 
-#include "base/spare_descriptor.hpp"
 #include "deliveries/http/answer.hpp"
 
 namespace lockgw {
@@ -84,7 +83,7 @@
         ++turn_;
         wait_until(Clock::now() + span);
         socket_.async_wait(
-            Tcp::socket::wait_read, guarded([this](auto) { owner_.drop(shared_from_this()); }));
+            Tcp::socket::wait_read, guarded([this](auto) { owner_.gone(shared_from_this()); }));
     }
     /// A close that has come and that the loop has not told yet would end the next call as a reset.
     bool still_open() {
@@ -107,14 +106,15 @@
         }));
     }
     void expire() {
-        if (!call_) return owner_.drop(shared_from_this());
+        if (!call_) return owner_.gone(shared_from_this());
         end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     }
 
     bool open() {
         boost::system::error_code failed;
         socket_.open(address_.protocol(), failed);
-        while (failed && out_of_descriptors(failed.value()) && owner_.close_one())
+        while (
+            failed && out_of_descriptors(failed.value()) && (owner_.drop_one() || owner_.spare_.give_back()))
             socket_.open(address_.protocol(), failed);
         return !failed;
     }
@@ -185,7 +185,7 @@
         const auto call = std::exchange(call_, std::nullopt);
         const OutcomeEvent told = outcome();
         // first: the decision on this outcome may want the connection
-        answer_.reusable() ? owner_.now_idle(self) : owner_.drop(self);
+        answer_.reusable() ? owner_.now_idle(self) : owner_.gone(self);
         if (call) report(*call, told);
     }
     /// Nothing more is read: what has come so far decides. A first line of 200 is true by itself; no other
@@ -194,7 +194,7 @@
         OutcomeEvent event;
         event.outcome = otherwise;
         if (written_ && answer_.says_delivered()) event.outcome = Outcome::Served, event.terminal = true;
-        owner_.drop(shared_from_this());
+        owner_.gone(shared_from_this());
         deliver(event);
     }
     void deliver(const OutcomeEvent& event) {
@@ -309,21 +309,35 @@
     connection->close();
 }
 
+/// One that ended by itself: its descriptor is the next call's before it is anybody's.
+void Targets::gone(const Connection& connection) {
+    drop(connection);
+    spare_.take();
+}
+
 /// Under the limit of descriptors: an idle connection goes first, then one whose call has its outcome.
 bool Targets::make_room() {
     if (calls_.size() + idle_.size() + finishing_.size() < most_) return true;
-    return close_one();
+    return drop_one();
 }
-bool Targets::close_one() {
+bool Targets::drop_one() {
     const IdlePool& from = idle_.empty() ? finishing_ : idle_;
     if (from.empty()) return false;
     drop(from.oldest());
     return true;
 }
+/// For somebody else: not the one that the next call needs.
+bool Targets::close_one() {
+    if (!drop_one()) return false;
+    if (spare_.held()) return true;
+    spare_.take();
+    return false;
+}
 
 void Targets::ended(const Connection& connection, OutcomeEvent outcome) {
     const auto found = calls_.find({outcome.message, outcome.attempt});
     if (found != calls_.end() && found->second == connection) calls_.erase(found);
+    spare_.take();  // its connection may be closed
     done_(std::move(outcome));
 }
 
--- a/src/deliveries/http/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "base/spare_descriptor.hpp"
 #include "core/delivery.hpp"
 
 namespace lockgw {
@@ -77,10 +78,12 @@
 
     Connection take_idle(EndpointId endpoint);
     bool make_room();
+    bool drop_one();
     void not_sent(const Call& call);
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
     void drop(const Connection& connection);
+    void gone(const Connection& connection);
     void ended(const Connection& connection, cometspoke::OutcomeEvent outcome);
 
     asio::io_context& io_;
@@ -92,7 +95,9 @@
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     std::map<EndpointId, Tcp::endpoint> addresses_;
     std::map<std::pair<MessageId, std::uint32_t>, Connection> calls_;
-    IdlePool idle_;       // by endpoint, and in the order of their last use
+    IdlePool idle_;  // by endpoint, and in the order of their last use
+    // Of what clients and others may take, one call can always be made: it is out, idle, or kept here.
+    SpareDescriptor spare_;
     IdlePool finishing_;  // their calls have an outcome, and their answers go on
 };
 
