--- a/src/capture/archive.hpp
+++ b/src/capture/archive.hpp
@@ -18,6 +18,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <unordered_map>
 #include <utility>
@@ -31,6 +32,14 @@
     using std::runtime_error::runtime_error;
 };
 
+/// The object that `bytes` hold. No list in it may claim more items than there are bytes.
+inline msgpack::object_handle unpacked(std::string_view bytes) {
+    constexpr std::size_t kDeepest = 16;
+    const std::size_t most = bytes.size();
+    return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
+        msgpack::unpack_limit(most, most, most, most, most, kDeepest));
+}
+
 template <class T>
 struct IsList : std::false_type {};
 template <class T>
--- a/src/capture/batch.cpp
+++ b/src/capture/batch.cpp
@@ -23,7 +23,7 @@
 
 template <class T>
 T read(std::string_view record, const char* what) try {
-    const msgpack::object_handle handle = msgpack::unpack(record.data(), record.size());
+    const msgpack::object_handle handle = unpacked(record);
     In members(handle.get());
     T value;
     describe(members, value);
@@ -114,7 +114,7 @@
 Named named_of(std::string_view record) { return read<Named>(record, "a name"); }
 
 Batch batch_of(std::string_view record) try {
-    const msgpack::object_handle handle = msgpack::unpack(record.data(), record.size());
+    const msgpack::object_handle handle = unpacked(record);
     const msgpack::object& all = handle.get();
     Batch batch;
     batch.number = item(all, 0, "a batch without its number").as<std::uint64_t>();
--- a/src/capture/memory.cpp
+++ b/src/capture/memory.cpp
@@ -120,7 +120,7 @@
 }
 
 void remember(cometspoke::Sender& sender, std::string_view memory) try {
-    const msgpack::object_handle handle = msgpack::unpack(memory.data(), memory.size());
+    const msgpack::object_handle handle = unpacked(memory);
     const msgpack::object& all = handle.get();
     if (all.type != msgpack::type::ARRAY || all.via.array.size != 3)
         throw BadCapture("no memory of a module");
