--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -163,6 +163,27 @@
     for (const auto& [id, count] : targets.effects_by_id()) EXPECT_EQ(count, 1) << id;
 }
 
+// Reloads that are asked for while one is being read are all answered, and what is in force at their end is
+// the file as it was when the last of them asked.
+TEST_F(OperatorTest, ReloadsThatComeTogetherAreAllAnswered) {
+    with_file(destination());
+    start_with_three();
+    for (int round = 0; round < 5; ++round) {
+        std::string padded(200'000, '#');  // reading it takes a while
+        padded += "\n" + destination();
+        write(padded);
+        std::atomic<int> well = 0;
+        std::vector<std::thread> asking;
+        for (int i = 0; i < 5; ++i)
+            asking.emplace_back([&] { well += control::ask(socket(), "reload").at("routes") == 0; });
+        for (std::thread& one : asking) one.join();
+        EXPECT_EQ(well, 5);
+        write(padded + "[[route]]\nname = \"r\"\nendpoints = [\"lab/a\"]\ndestination = \"lab\"\n");
+        EXPECT_EQ(control::ask(socket(), "reload").at("routes"), 1);
+        EXPECT_EQ(control::ask(socket(), "status").at("routes"), 1);
+    }
+}
+
 // Limits in the file hold: of one that NODE_CONFIG tells too the lower one; at the door a silent client is
 // waited for as long as it says (2 s without it).
 TEST_F(OperatorTest, ItsLimitsHold) {
