--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -163,6 +163,43 @@
     for (const auto& [id, count] : targets.effects_by_id()) EXPECT_EQ(count, 1) << id;
 }
 
+// [log] holds from the start, and a reload takes another form over.
+TEST_F(OperatorTest, ItsLogHasTheFormThatTheFileSays) {
+    with_file(destination("[log]\nform = \"json\"\n"));
+    start_with_three();
+    ASSERT_TRUE(node.logs("\"part\":\"config\"")) << node.log();
+    EXPECT_TRUE(Json::accept(node.log().substr(0, node.log().find('\n')))) << node.log();
+    write(destination());
+    control::ask(socket(), "reload");
+    ASSERT_TRUE(node.logs("info program: configuration read anew reloads=1")) << node.log();
+    write(destination("[log]\nlevel = \"error\"\n"));
+    control::ask(socket(), "reload");
+    write("nonsense");
+    EXPECT_THROW(control::ask(socket(), "reload"), control::Refused);
+    ASSERT_TRUE(node.logs("error program: the old configuration stays")) << node.log();
+    EXPECT_EQ(node.log().find("reloads=2"), std::string::npos) << node.log();
+}
+
+// A message in the journal whose class the new configuration no longer has still gets its one final answer.
+TEST_F(OperatorTest, AClassThatWentLeavesNoMessageWithoutItsEnd) {
+    rig::CallScript hang;
+    hang.kind = rig::CallScript::Kind::Hang;
+    targets.usual(0, hang);
+    start_with({member("s-1", 0)});
+    Client client = node.client();
+    const std::string id = fresh_id();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    ASSERT_TRUE(targets.wait_calls(1, kDeadline));
+    node.kill();
+    node.wait();
+    node.config()["settings"]["classes"].erase(2);
+    node.start_ready();
+    EXPECT_TRUE(waits_for([&] { return directory.notices_of(id) > 0; })) << node.log();
+    node.terminate();
+    node.wait();
+    EXPECT_EQ(targets.calls().size(), 1u);
+}
+
 // Reloads that are asked for while one is being read are all answered, and what is in force at their end is
 // the file as it was when the last of them asked.
 TEST_F(OperatorTest, ReloadsThatComeTogetherAreAllAnswered) {
