Capture: cut, minimise, what-if, timeline, walk; keep the minutes before by a trigger

Need: a capture could be listed and decided once more, no more; a ring of some minutes is gone when somebody asks, and whoever wants to send one away sends names with it.

Change: src/capture/part (segments joined, cut, names hidden), change (notes lost, answers later), minimise (ddmin over messages, endpoints, batches, events), timeline (SVG), trigger and ring (what is kept, bounded by itself), core/captures (start, stop and keep while it runs).

Result: properties over random traffic (parts make the whole; a minimal capture shows its decision and no event of it can be left out); the built program started, kept, stopped.

--- a/src/capture/recorder.cpp
+++ b/src/capture/recorder.cpp
@@ -3,108 +3,61 @@
 // air: recording pauses, and goes on with a new segment.
 #include "capture/recorder.hpp"
 
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <random>
+#include <cstdio>
+#include <ctime>
 
 #include "capture/memory.hpp"
+#include "capture/ring.hpp"
 #include "capture/segment.hpp"
 #include "logging/log.hpp"
+#include "policy/state.hpp"
 
 namespace lockgw::capture {
 
-namespace fs = std::filesystem;
+using cometspoke::policy::Health;
 using std::chrono::steady_clock;
 
 namespace {
 
 constexpr std::size_t kBlock = 64 * 1024;
-constexpr std::size_t kMostBlocks = 8;  // that wait to be written: 512 KB, and a head
-constexpr const char* kSuffix = ".lcap";
+constexpr Time kLookEvery = std::chrono::milliseconds(200);  // all endpoints are looked at
+constexpr std::size_t kMostBlocks = 8;                       // that wait to be written: 512 KB, and a head
+
+/// A folder's name that sorts by its moment.
+std::string stamp(Cause cause) {
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm utc{};
+    gmtime_r(&seconds, &utc);
+    char text[64];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y%m%dT%H%M%S", &utc);
+    std::snprintf(text + length, sizeof text - length, ".%03dZ-%s", static_cast<int>(ms), name_of(cause));
+    return text;
+}
 
-std::runtime_error failure(const char* what, const fs::path& path) {
-    return std::runtime_error(
-        std::string(what) + ' ' + path.filename().string() + ": " + std::strerror(errno));
+std::set<cometspoke::EndpointId> ailing(cometspoke::policy::State& state) {
+    std::set<cometspoke::EndpointId> all;
+    for (const auto& [id, endpoint] : state.endpoints_)
+        if (endpoint.health != Health::Well) all.insert(id);
+    return all;
 }
 
 }  // namespace
 
-/// On the thread alone, but for the constructor.
-class Recorder::Ring {
-public:
-    Ring(fs::path folder, std::size_t most) : folder_(std::move(folder)), most_(most) {
-        fs::create_directories(folder_);
-        fs::permissions(folder_, fs::perms::owner_all);  // what is told of messages is nobody else's
-        if (::access(folder_.c_str(), W_OK) != 0) throw failure("cannot write to", folder_);
-        for (const auto& [path, size] : segments())
-            last_ = std::max(last_, std::strtoull(path.stem().string().c_str() + 1, nullptr, 10));
-    }
-    ~Ring() { close(); }
-
-    /// A new file for what comes; room for `coming` bytes is made, the oldest segments first.
-    void begin(std::size_t coming) {
-        close();
-        auto all = segments();
-        std::size_t total = 0;
-        for (const auto& [path, size] : all) total += size;
-        for (const auto& [path, size] : all) {
-            if (total + coming <= most_) break;
-            if (!fs::remove(path)) throw failure("cannot remove", path);
-            total -= size;
-        }
-        char name[40];
-        std::snprintf(name, sizeof name, "s%012llu%s", static_cast<unsigned long long>(++last_), kSuffix);
-        path_ = folder_ / name;
-        file_ = ::open(path_.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0600);
-        if (file_ < 0) throw failure("cannot create", path_);
-        write(magic());
-    }
-    void write(std::string_view bytes) {
-        if (file_ < 0) throw std::runtime_error("no segment is open");
-        while (!bytes.empty()) {
-            const ssize_t count = ::write(file_, bytes.data(), bytes.size());
-            if (count < 0 && errno == EINTR) continue;
-            if (count <= 0) {
-                const auto why = failure("cannot write to", path_);
-                close();
-                throw why;
-            }
-            bytes.remove_prefix(static_cast<std::size_t>(count));
-        }
-    }
-
-private:
-    void close() {
-        if (file_ >= 0) ::close(file_);
-        file_ = -1;
-    }
-    /// In the order of their names, which is that of their making.
-    std::vector<std::pair<fs::path, std::size_t>> segments() const {
-        std::vector<std::pair<fs::path, std::size_t>> all;
-        for (const auto& entry : fs::directory_iterator(folder_))
-            if (entry.path().extension() == kSuffix && entry.is_regular_file())
-                all.emplace_back(entry.path(), static_cast<std::size_t>(entry.file_size()));
-        std::sort(all.begin(), all.end());
-        return all;
-    }
-
-    fs::path folder_, path_;
-    std::size_t most_;
-    unsigned long long last_ = 0;
-    int file_ = -1;
-};
-
 Recorder::Recorder(
     boost::asio::io_context& loop, RecorderSettings settings, About about, cometspoke::Sender& module)
     : settings_(std::move(settings)),
       about_(std::move(about)),
       module_(module),
-      ring_(std::make_shared<Ring>(settings_.folder, settings_.disk_bytes)),
+      ring_(std::make_shared<Ring>(settings_.folder, settings_.disk_bytes, settings_.kept_bytes)),
+      trigger_(settings_.trigger),
       timer_(loop),
+      after_(loop),
       worker_(loop, kMostBlocks) {
     begin_segment("start");
 }
@@ -129,8 +82,9 @@
     if (!pending_.empty()) flush();
     if (lost_) return;
     pending_ = frame(RecordKind::Head, bytes_of(head));
+    pending_.reserve(pending_.size() + 2 * kBlock);
     for (const auto& [endpoint, name] : names_)
-        pending_ += frame(RecordKind::Named, bytes_of(Named{endpoint, name}));
+        append_frame(pending_, RecordKind::Named, bytes_of(Named{endpoint, name}));
     pending_begins_ = true;
     in_segment_ = pending_.size();
     // where much is held a head is long: its segment is longer, too
@@ -140,10 +94,11 @@
 }
 
 void Recorder::observed(const cometspoke::Event& event, Time now) {
-    if (!lost_) batch_.event(event, now);
+    if (!lost_ && !ended_) batch_.event(event, now);
 }
 
 void Recorder::decided(Time now, const std::vector<cometspoke::Action>& actions) {
+    if (ended_) return;
     const std::uint64_t number = number_++;
     for (const auto& action : actions)
         if (const auto* forget = std::get_if<cometspoke::Forget>(&action)) names_.erase(forget->endpoint);
@@ -154,18 +109,68 @@
         return begin_segment("lost " + std::to_string(number_ - lost_from_) + " batches from number " +
                              std::to_string(lost_from_) + " on: " + lost_why_);
     }
-    const std::string record = frame(RecordKind::Batch, batch_.finish(number, now, actions));
-    pending_ += record;
-    in_segment_ += record.size();
+    const std::size_t before = pending_.size();
+    append_frame(pending_, RecordKind::Batch, batch_.finish(number, now, actions));
+    in_segment_ += pending_.size() - before;
     ++counters_.batches;
     if (pending_.size() >= kBlock) flush();
+    watch(now, actions);
     if (in_segment_ >= segment_limit_) begin_segment("next");
     arm();
 }
 
+/// At rest, right after a decision: a segment may begin here.
+void Recorder::watch(Time now, const std::vector<cometspoke::Action>& actions) {
+    if (trigger_.settings().on.empty() && !asked_) return segment_due();
+    trigger_.decided(now, actions);
+    if (trigger_.settings().on.contains(Cause::FellSick) && now - looked_ >= kLookEvery) {
+        looked_ = now;
+        trigger_.looked(ailing(module_.state()));
+    }
+    auto cause = trigger_.due(now);
+    if (std::exchange(asked_, false)) cause = Cause::Asked;
+    cause ? keep_for(*cause) : segment_due();
+}
+void Recorder::segment_due() {
+    if (std::exchange(ends_keep_, false)) begin_segment("behind what was kept");
+}
+void Recorder::end() {
+    flush();
+    ended_ = true;
+}
+void Recorder::keep() { asked_ = true; }
+
+/// What is open ends here, so that what came before stands by itself; what comes goes on in another one.
+void Recorder::keep_for(Cause cause) {
+    begin_segment(std::string("kept: ") + name_of(cause));
+    flush();  // the job that begins it closes the one before
+    if (lost_) return;
+    const auto now = steady_clock::now();
+    const auto name = stamp(cause);
+    const auto until = now + trigger_.settings().after;
+    auto job = [ring = ring_, name, since = now - trigger_.settings().before, until] {
+        ring->keep(name, since, until);
+        return ring->kept();
+    };
+    const bool room = worker_.run(std::move(job), [this, here = here_, name](auto came) {
+        if (!*here) return;
+        try {
+            std::tie(counters_.kept, counters_.kept_bytes) = came.take();
+            log::warn("capture", "kept", {{"folder", name}});
+        } catch (const std::exception& bad) {
+            log::error("capture", "cannot be kept", {{"why", bad.what()}});
+        }
+    });
+    if (!room) log::error("capture", "cannot be kept", {{"why", "the disk is too slow"}});
+    after_.expires_at(until);
+    after_.async_wait([this, here = here_](auto cancelled) {
+        if (!cancelled && *here) ends_keep_ = true;
+    });
+}
+
 void Recorder::named(cometspoke::EndpointId endpoint, const std::string& name) {
     if (names_.try_emplace(endpoint, name).second && !lost_)
-        pending_ += frame(RecordKind::Named, bytes_of(Named{endpoint, name}));
+        append_frame(pending_, RecordKind::Named, bytes_of(Named{endpoint, name}));
 }
 
 void Recorder::arm() {
@@ -183,7 +188,7 @@
     const bool begins = std::exchange(pending_begins_, false);
     const std::size_t coming = begins ? segment_limit_ + kBlock : 0;
     auto job = [ring = ring_, begins, coming, bytes = std::exchange(pending_, {})] {
-        if (begins) ring->begin(coming);
+        if (begins) ring->begin(coming, steady_clock::now());
         ring->write(bytes);
         return bytes.size();
     };
--- a/src/capture/recorder.hpp
+++ b/src/capture/recorder.hpp
@@ -18,13 +18,16 @@
 
 #include "background/worker.hpp"
 #include "capture/batch.hpp"
+#include "capture/trigger.hpp"
 
 namespace lockgw::capture {
 
 struct RecorderSettings {
     std::filesystem::path folder;
-    std::size_t disk_bytes = 64u << 20;     ///< of all segments
-    std::size_t segment_bytes = 4u << 20;   ///< a new segment begins beyond this
+    std::size_t disk_bytes = 64u << 20;    ///< of all segments
+    std::size_t segment_bytes = 4u << 20;  ///< a new segment begins beyond this
+    std::size_t kept_bytes = 64u << 20;    ///< of what a trigger or the operator kept, beside the others
+    TriggerSettings trigger;
     std::chrono::milliseconds flush{200};   ///< what is told is written after this at the latest
     std::chrono::milliseconds retry{1000};  ///< after a write that failed
 };
@@ -37,8 +40,11 @@
 
 struct RecorderCounters {
     std::uint64_t batches = 0, lost_batches = 0, bytes = 0, segments = 0, failures = 0;
+    std::uint64_t kept = 0, kept_bytes = 0;  ///< folders, and what is in them
 };
 
+class Ring;  // the files, on the thread
+
 class Recorder {
 public:
     /// Creates the folder. Throws where it cannot be used.
@@ -56,12 +62,20 @@
     /// An endpoint has got its number.
     void named(cometspoke::EndpointId endpoint, const std::string& name);
 
+    /// Nothing is recorded any more; what there is will be written. Idle: it is.
+    void end();
+    bool idle() const { return worker_.out() == 0; }
+
     const RecorderCounters& counters() const { return counters_; }
     bool failing() const { return lost_; }
 
-private:
-    class Ring;  // the files, on the thread
+    /// With the next decision the minutes before it are kept, and what comes in the time after it.
+    void keep();
 
+private:
+    void watch(Time now, const std::vector<cometspoke::Action>& actions);
+    void segment_due();
+    void keep_for(Cause cause);
     void begin_segment(const std::string& why);
     void flush();
     void arm();
@@ -71,6 +85,9 @@
     About about_;
     cometspoke::Sender& module_;
     std::shared_ptr<Ring> ring_;
+    Trigger trigger_;
+    Time looked_{0};
+    bool asked_ = false, ends_keep_ = false, ended_ = false;
     BatchWriter batch_;
     std::map<cometspoke::EndpointId, std::string> names_;
     std::string pending_;          // framed, not given to the thread yet
@@ -84,7 +101,7 @@
     std::chrono::steady_clock::time_point not_before_{};
     bool armed_ = false;
     RecorderCounters counters_;
-    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer timer_, after_;
     std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
     Worker worker_;
 };
--- a/src/capture/replay.hpp
+++ b/src/capture/replay.hpp
@@ -38,6 +38,7 @@
     std::size_t place() const { return place_; }
     /// What the module knows now, before the next one.
     cometspoke::policy::State& state() { return module_.state(); }
+    cometspoke::Sender& module() { return module_; }
 
 private:
     const Segment& segment_;
--- a/src/capture/segment.cpp
+++ b/src/capture/segment.cpp
@@ -85,11 +85,14 @@
 
 std::string frame(RecordKind kind, std::string_view bytes) {
     std::string all;
-    all.reserve(kFrame + bytes.size());
-    all.push_back(static_cast<char>(kind));
-    put_number(all, static_cast<std::uint32_t>(bytes.size()));
-    put_number(all, checksum(all, bytes));
-    return all.append(bytes);
+    append_frame(all, kind, bytes);
+    return all;
+}
+void append_frame(std::string& to, RecordKind kind, std::string_view bytes) {
+    std::string begins(1, static_cast<char>(kind));  // short: no allocation
+    put_number(begins, static_cast<std::uint32_t>(bytes.size()));
+    put_number(begins, checksum(begins, bytes));
+    to.append(begins).append(bytes);
 }
 
 std::size_t Segment::whole() const {
@@ -129,6 +132,23 @@
     return segment;
 }
 
+std::string bytes_of(const Segment& segment) {
+    if (!segment.head) throw BadCapture("a segment without a head");
+    std::string all = magic() + frame(RecordKind::Head, bytes_of(*segment.head));
+    for (const Named& name : segment.names) all += frame(RecordKind::Named, bytes_of(name));
+    for (const Batch& batch : segment.batches) all += frame(RecordKind::Batch, bytes_of(batch));
+    return all;
+}
+
+void write_segment(const Segment& segment, const std::filesystem::path& path) {
+    if (std::filesystem::exists(path)) throw std::runtime_error(path.string() + " is there already");
+    std::ofstream stream(path, std::ios::binary);
+    const std::string bytes = bytes_of(segment);
+    stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    stream.close();
+    if (!stream) throw std::runtime_error(path.string() + " cannot be written");
+}
+
 Segment read_segment(const std::filesystem::path& path) try {
     Segment segment = segment_of(content(path));
     segment.path = path;
--- a/src/capture/segment.hpp
+++ b/src/capture/segment.hpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kMostRecord = 256u << 20;  ///< bytes
 
 std::string frame(RecordKind kind, std::string_view bytes);
+void append_frame(std::string& to, RecordKind kind, std::string_view bytes);
 std::string magic();
 
 /// What is wrong at a place of a file.
@@ -42,6 +43,11 @@
     std::size_t whole() const;
 };
 
+/// A whole file: head, names, batches. Throws BadCapture where there is no head.
+std::string bytes_of(const Segment& segment);
+/// Writes it as a new file. Throws std::runtime_error, also where the file is there already.
+void write_segment(const Segment& segment, const std::filesystem::path& path);
+
 /// Reads a whole file. Throws BadCapture where it is no segment at all, or of a newer format.
 Segment read_segment(const std::filesystem::path& path);
 /// The same of bytes.
--- a/src/capture/story.cpp
+++ b/src/capture/story.cpp
@@ -341,6 +341,12 @@
         if (one.name == text) return subject.endpoint = one.endpoint, subject;
     if (text.size() == 16 && text.find_first_not_of("0123456789abcdef") == std::string::npos)
         return subject.message = std::strtoull(text.c_str(), nullptr, 16), subject;
+    const std::string unnamed = "endpoint ";
+    if (text.starts_with(unnamed) && text.size() < 20 &&
+        text.find_first_not_of("0123456789", unnamed.size()) == std::string::npos)
+        return subject.endpoint =
+                   static_cast<EndpointId>(std::strtoul(text.c_str() + unnamed.size(), nullptr, 10)),
+               subject;
     const std::string word = "destination ";
     const std::string number = text.starts_with(word) ? text.substr(word.size()) : text;
     if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
@@ -348,6 +354,40 @@
     return subject;
 }
 
+std::vector<std::string> known_then(
+    State& state, Time now, const NameOf& name_of, const Subject& subject, std::size_t most) {
+    std::vector<std::string> lines;
+    const bool all = !subject.message && !subject.endpoint && !subject.destination;
+    const auto ill = [&](EndpointId id) {
+        const auto found = state.endpoints_.find(id);
+        return found != state.endpoints_.end() && !hindrances(state, id, now).empty();
+    };
+    lines.push_back(std::to_string(state.messages_.size()) + " messages are held, " +
+                    std::to_string(state.calls_.size()) + " calls are out of " +
+                    std::to_string(state.settings_.slots));
+    if (subject.message) {
+        const std::string why = passed_over(state, *subject.message, now, name_of);
+        lines.push_back("message " + id_text(*subject.message) + ": " + (why.empty() ? "not held" : why));
+    }
+    for (const auto& [id, destination] : state.destinations_) {
+        const auto& endpoints = destination.endpoints;
+        const bool about =
+            subject.destination == id || (subject.endpoint && endpoints.contains(*subject.endpoint)) ||
+            (all && (!destination.held.empty() || std::any_of(endpoints.begin(), endpoints.end(), ill)));
+        if (!about) continue;
+        if (lines.size() >= most) {
+            lines.push_back("... and more");
+            break;
+        }
+        lines.push_back("destination " + std::to_string(id) + ": " + std::to_string(destination.held.size()) +
+                        " held, " + std::to_string(destination.in_flight) + " out");
+        for (const EndpointId endpoint : endpoints)
+            if (subject.destination || subject.endpoint == endpoint || (all && ill(endpoint)))
+                lines.push_back("  " + name_of(endpoint) + ": " + condition_of(state, endpoint, now));
+    }
+    return lines;
+}
+
 std::vector<Line> story_of(const Segment& segment, const Subject& subject, std::size_t most) {
     return Teller(segment, subject, most).told();
 }
--- a/src/capture/story.hpp
+++ b/src/capture/story.hpp
@@ -19,8 +19,8 @@
     std::optional<cometspoke::EndpointId> endpoint;
     std::optional<cometspoke::DestinationId> destination;
 };
-/// 16 hex digits: a message; "destination N" or a whole number: a destination; else the name of an endpoint.
-/// None where the segment knows no such thing.
+/// 16 hex digits: a message; "destination N" or a whole number: a destination; the name of an endpoint, or
+/// "endpoint N". None where the segment knows no such thing.
 std::optional<Subject> subject_of(const Segment& segment, const std::string& text);
 
 struct Line {
@@ -32,8 +32,14 @@
 /// At most `most` lines; the last one says so where there were more.
 std::vector<Line> story_of(const Segment& segment, const Subject& subject, std::size_t most = 10'000);
 
-/// Words for what both sides say; `name_of`: of an endpoint.
 using NameOf = std::function<std::string(cometspoke::EndpointId)>;
+/// What the module knows between two batches, in lines: of all destinations that hold something or have an
+/// endpoint which is not well, or of the subject alone. At most `most`; the last one says so where there are
+/// more.
+std::vector<std::string> known_then(cometspoke::policy::State& state, Time now, const NameOf& name_of,
+    const Subject& subject = {}, std::size_t most = 200);
+
+/// Words for what both sides say; `name_of`: of an endpoint.
 NameOf names_of(const Segment& segment);
 std::string text_of(const cometspoke::Event& event, const Head& head, const NameOf& name_of);
 std::string text_of(const cometspoke::Action& action, const NameOf& name_of);
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -153,8 +153,24 @@
         if (row.segment_mb > row.disk_mb / 3)
             table.problem(table.place("segment_mb"), "out-of-range",
                 "segment_mb; write a third of disk_mb at most: the oldest segment goes for the next");
+        keeping(table, row);
         file_.capture = std::move(row);
     }
+    void keeping(TableReader& table, CaptureRow& row) {
+        constexpr double kLongestS = 7 * 86'400;
+        for (const Word& cause : table.words("keep_on").value_or(std::vector<Word>{})) {
+            if (cause.text != "fell_sick" && cause.text != "given_up" && cause.text != "refused")
+                table.problem(cause.place, "unknown-word",
+                    "\"" + cause.text + "\" in keep_on; write fell_sick, given_up or refused");
+            row.keep_on.push_back(cause.text);
+        }
+        row.keep_before_s = table.number("keep_before_s", 1, kLongestS).value_or(row.keep_before_s);
+        row.keep_after_s = table.number("keep_after_s", 0, kLongestS).value_or(row.keep_after_s);
+        row.keep_every_s = table.number("keep_every_s", 1, kLongestS).value_or(row.keep_every_s);
+        row.kept_mb = table.number("kept_mb", 0.1, 1e6).value_or(row.kept_mb);
+        row.keep_refusals =
+            static_cast<std::size_t>(table.integer("keep_refusals", 1, 100'000).value_or(100));
+    }
     void message_class(TableReader& table) {
         ClassRow row;
         row.name = table.needed_word("name");
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -45,26 +45,6 @@
     return names;
 }
 
-std::unique_ptr<capture::Recorder> recorder_of(
-    asio::io_context& io, const Config& config, cometspoke::Sender& module) {
-    if (!config.capture) return nullptr;
-    const auto names = [](const cometspoke::settings::Index& index) {
-        std::vector<std::string> all(index.size());
-        for (const auto& [name, place] : index) all.at(place) = name;
-        return all;
-    };
-    const auto bytes = [](double megabytes) { return static_cast<std::size_t>(megabytes * 1024 * 1024); };
-    capture::RecorderSettings settings;
-    settings.folder = config.capture->folder.empty() ? config.state / "capture"
-                                                     : std::filesystem::path(config.capture->folder);
-    settings.disk_bytes = bytes(config.capture->disk_mb);
-    settings.segment_bytes = bytes(config.capture->segment_mb);
-    return std::make_unique<capture::Recorder>(io, settings,
-        capture::About{LOCKGW_VERSION, names(config.names.classes), names(config.names.tenants),
-            names(config.names.kinds)},
-        module);
-}
-
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -76,7 +56,7 @@
       config_(within_descriptors(std::move(config))),
       journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
       sender_(config_.settings, config_.seed),
-      recorder_(recorder_of(io, config_, sender_)),
+      captures_(io, config_, sender_, directory_),
       routes_(std::move(routes)),
       delivery_(protocols.delivery(
           io, config_, most_target_connections(config_),
@@ -150,7 +130,7 @@
     for (const Target& target : told.targets) {
         const auto endpoint = directory_.find(target.id);
         if (!endpoint) continue;  // it went before it was ever listed here
-        if (recorder_) recorder_->named(*endpoint, target.id);
+        captures_.named(*endpoint, target.id);
         ListEntry entry;
         if (!target.zone.empty()) entry.zone = config_.names.zones.at(target.zone);
         if (!target.kind.empty()) entry.kind = config_.names.kinds.at(target.kind);
@@ -240,7 +220,7 @@
 void Forwarder::tell_module(const Event& event) {
     const Time at = now();
     sender_.observe(event, at);
-    if (recorder_) recorder_->observed(event, at);
+    captures_.observed(event, at);
 }
 void Forwarder::open_turn() {
     if (std::exchange(turn_due_, true)) return;
@@ -258,7 +238,7 @@
     turn_due_ = false;
     const Time at = now();
     const std::vector<Action> actions = sender_.decide(at);
-    if (recorder_) recorder_->decided(at, actions);
+    captures_.decided(at, actions);
     auto replies = take_on(actions);
     std::vector<Recorded> recorded(actions.size());
     for (std::size_t i = 0; i < actions.size(); ++i) guarded([&] { recorded[i] = record(actions[i]); });
@@ -441,7 +421,22 @@
         {"unconfirmed_ends", journal_.entries().size() - journal_.unended()},
         {"calls_out", delivery_->calls()}, {"slots", config_.settings.slots},
         {"most_held", config_.settings.most_held}, {"longest_turn_ms", longest}, {"routes", routes_.size()},
-        {"fronts", Json::array({front_->status()})}, {"destinations", std::move(destinations)}};
+        {"capture", captures_.status()}, {"fronts", Json::array({front_->status()})},
+        {"destinations", std::move(destinations)}};
+}
+
+void Forwarder::capture(const std::string& what, Captures::Told told) {
+    if (what == "start")
+        captures_.start(std::move(told));
+    else if (what == "stop")
+        captures_.stop(std::move(told));
+    else if (what == "keep")
+        captures_.keep(std::move(told));
+    else
+        return told("start, stop or keep, not \"" + what + '"');
+    open_turn();
+    if (what == "keep")
+        asio::post(io_, [this] { open_turn(); });  // what is open ends with the decision after
 }
 
 void Forwarder::drain() {
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "capture/recorder.hpp"
 #include "config/config.hpp"
+#include "core/captures.hpp"
 #include "core/delivery.hpp"
 #include "core/front.hpp"
 #include "membership/directory.hpp"
@@ -42,6 +42,8 @@
     routes::Resolution route(const routes::Query& query) const;
     const routes::Table& routes() const { return routes_; }
     const routes::Members& members() const { return members_; }
+    /// "start", "stop" or "keep"; `told` is called with the next decision, at once where it is none of them.
+    void capture(const std::string& what, Captures::Told told);
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void drain();
 
@@ -101,8 +103,8 @@
     const Config config_;
     Journal journal_;
     cometspoke::Sender sender_;
-    std::unique_ptr<capture::Recorder> recorder_;  // none: nothing is captured
     Directory directory_;
+    Captures captures_;
     routes::Table routes_;
     routes::Members members_;  // as listed, by destination
     std::unique_ptr<Delivery> delivery_;
--- a/src/membership/directory.hpp
+++ b/src/membership/directory.hpp
@@ -22,6 +22,11 @@
     std::optional<cometspoke::EndpointId> find(const std::string& name) const;
     const std::string* name_of(cometspoke::EndpointId number) const;
     void forget(cometspoke::EndpointId number);
+    /// use(number, name) for each that has a number.
+    template <class Use>
+    void each(Use use) const {
+        for (const auto& [number, entry] : entries_) use(number, entry.name);
+    }
 
     /// Takes what discovery tells; returns the numbers of those that are no longer listed.
     std::set<cometspoke::EndpointId> listed(const TargetList& told, Clock::time_point now);
--- a/src/program/ask.cpp
+++ b/src/program/ask.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 template <class Use>
-int asked(const std::string& socket, const char* verb, Use use) try {
-    use(control::ask(socket, verb));
+int asked(const std::string& socket, const char* verb, Use use, const Json& args = Json::object()) try {
+    use(control::ask(socket, verb, args));
     return kWell;
 } catch (const control::Refused& refused) {
     std::cerr << "lockgw: " << refused.what() << '\n' << refused.problems() << '\n';
@@ -37,6 +37,10 @@
     for (const Json& front : status.at("fronts"))
         line("clients", front.at("connections").dump() + " at " + front.at("listen").get<std::string>() +
                             ", " + front.at("handed_in").dump() + " messages handed in");
+    if (const Json capture = status.value("capture", Json::object()); capture.value("on", false))
+        line("capture", capture.at("batches").dump() + " batches, " + capture.at("bytes").dump() +
+                            " bytes, " + capture.at("lost_batches").dump() + " lost, " +
+                            capture.at("kept").dump() + " kept");
     std::cout << '\n'
               << std::left << std::setw(32) << "destination" << std::setw(8) << "held"
               << "endpoints\n";
@@ -77,4 +81,9 @@
     });
 }
 
+int tell_capture(const std::string& socket, const std::string& what) {
+    return asked(socket, "capture", [&what](const Json&) { std::cout << "capture: " << what << '\n'; },
+        {{"do", what}});
+}
+
 }  // namespace lockgw::program
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -17,10 +17,31 @@
 int print_version();
 /// Segments of a capture, in a folder or one file.
 int list_captures(const std::string& folder, bool json);
+/// A part of a capture, as a file of its own.
+struct CutWish {
+    std::string path, out;
+    std::string from, to;     ///< moments of the system clock, UTC; empty: without this end
+    std::string about;        ///< or what --why takes
+    bool hide_names = false;  ///< of endpoints, tenants, classes
+};
+int cut_capture(const CutWish& wish);
+/// The smallest capture that shows a decision.
+struct MinimiseWish {
+    std::string path, out;
+    std::string decision;           ///< words of it, as --why prints them
+    std::vector<std::string> sets;  ///< only what also loses it with these settings
+    std::size_t trials = 4000;
+};
+int minimise_capture(const MinimiseWish& wish);
 struct ReplayWish {
-    std::string path;               ///< a segment, or a folder of them
-    std::string why;                ///< the story of this instead
-    std::vector<std::string> sets;  ///< "slots=16": what if
+    std::string path;                            ///< a segment, or a folder of them
+    std::string why;                             ///< the story of this instead
+    std::vector<std::string> sets;               ///< "slots=16": what if
+    std::vector<std::string> lost_notes, later;  ///< what if: a peer's number or "all"; "endpoint=ms"
+    std::size_t differences = 1;                 ///< shown at most
+    std::string timeline;                        ///< a picture instead, into this file
+    std::string until;                           ///< a moment or a batch: what was known then, instead
+    bool step = false;                           ///< batch by batch, as standard input says
     bool json = false;
 };
 /// 1 where a decision differs.
@@ -30,6 +51,8 @@
 constexpr const char* kSocketName = "control";  ///< in the folder that lasts
 int print_status(const std::string& socket, bool json);
 int print_running_routes(const std::string& socket, bool json);
+/// "start", "stop" or "keep".
+int tell_capture(const std::string& socket, const std::string& what);
 int reload_running(const std::string& socket);
 
 }  // namespace lockgw::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -70,6 +70,34 @@
     std::string folder;
     list->add_option("FOLDER", folder, "the folder of the capture")->required()->check(CLI::ExistingPath);
     list->add_flag("--json", json, "for programs");
+    std::vector<CLI::App*> tells;
+    for (const auto& [what, about] : {std::pair{"start", "have the running process begin to capture"},
+             {"stop", "have it end"}, {"keep", "have it keep the minutes before now, and what comes next"}}) {
+        tells.push_back(captures->add_subcommand(what, about));
+        tells.back()->add_option("--socket", socket, "its control socket");
+        tells.back()->add_option("--state", sources.state, "its folder that lasts (or NODE_STATE)");
+    }
+    CutWish part;
+    CLI::App* cut = captures->add_subcommand("cut", "a part of a capture, as a file that can be replayed");
+    cut->add_option("PATH", part.path, "a segment, or a folder of them")
+        ->required()
+        ->check(CLI::ExistingPath);
+    cut->add_option("--out", part.out, "the new file")->required();
+    cut->add_option("--from", part.from, "UTC, such as 2026-12-01 16:08:43.5, or the time of the day");
+    cut->add_option("--to", part.to, "UTC");
+    cut->add_option("--about", part.about, "from the first to the last of a message, destination or endpoint")
+        ->excludes("--from")
+        ->excludes("--to");
+    cut->add_flag("--hide-names", part.hide_names, "endpoints, tenants and classes by numbers only");
+    MinimiseWish least;
+    CLI::App* minimise = captures->add_subcommand("minimise", "the smallest capture that shows a decision");
+    minimise->add_option("PATH", least.path, "a segment, or a folder of them")
+        ->required()
+        ->check(CLI::ExistingPath);
+    minimise->add_option("--decision", least.decision, "words of it, as --why prints them")->required();
+    minimise->add_option("--out", least.out, "the new file")->required();
+    minimise->add_option("--set", least.sets, "only what also loses the decision with this setting");
+    minimise->add_option("--trials", least.trials, "at most")->check(CLI::Range(1, 1'000'000));
     ReplayWish wish;
     CLI::App* replay =
         app.add_subcommand("replay", "decide what was captured once more, and say where it differs");
@@ -78,6 +106,12 @@
         ->check(CLI::ExistingPath);
     replay->add_option("--why", wish.why, "the story of a message, a destination or an endpoint instead");
     replay->add_option("--set", wish.sets, "NAME=NUMBER: what if this setting had been so");
+    replay->add_option("--lose-notes", wish.lost_notes, "PEER or all: what if its notes had not come");
+    replay->add_option("--later", wish.later, "ENDPOINT=MS: what if its answers had come so much later");
+    replay->add_option("--differences", wish.differences, "shown at most")->check(CLI::Range(1, 1000));
+    replay->add_option("--timeline", wish.timeline, "draw it into this SVG file (of --why, if given)");
+    replay->add_option("--until", wish.until, "a moment or a batch's number: what was known then");
+    replay->add_flag("--step", wish.step, "batch by batch: n [COUNT], g MOMENT, s [ABOUT], q");
     replay->add_flag("--json", wish.json, "for programs");
 
     CLI::App* version = app.add_subcommand("version", "print the version");
@@ -89,11 +123,15 @@
     }
     if (version->parsed()) return print_version();
     if (list->parsed()) return list_captures(folder, json);
+    if (cut->parsed()) return cut_capture(part);
+    if (minimise->parsed()) return minimise_capture(least);
     if (replay->parsed()) return replay_capture(wish);
     if (check->parsed())
         return newer.empty() ? check_file(sources, json) : compare_files(sources, newer, json);
     if (socket.empty() && !sources.state.empty() && !run->parsed())
         socket = (std::filesystem::path(sources.state) / kSocketName).string();
+    for (const CLI::App* tell : tells)
+        if (tell->parsed()) return tell_capture(socket, tell->get_name());
     if (status->parsed()) return print_status(socket, json);
     if (reload->parsed()) return reload_running(socket);
     if (routes->parsed() && running) return print_running_routes(socket, json);
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -65,6 +65,12 @@
             return json_of(routes::rows_of(
                 {running_->file, forwarder_.routes(), running_->known, forwarder_.members()}));
         });
+        verbs_.add_later("capture", [this](const Json& args, control::Promise promise) {
+            const std::string what = args.value("do", "");
+            forwarder_.capture(what, [promise = std::move(promise), what](const std::string& wrong) {
+                wrong.empty() ? promise(Json{{"done", what}}) : promise(control::Refused(wrong));
+            });
+        });
         verbs_.add_later(
             "reload", [this](const Json&, control::Promise promise) { reload(std::move(promise)); });
         if (!control.empty())
--- a/tests/capture_program_test.cpp
+++ b/tests/capture_program_test.cpp
@@ -8,6 +8,7 @@
 #include "capture/story.hpp"
 #include "control/client.hpp"
 #include "membership_fixture.hpp"
+#include "program/commands.hpp"
 
 namespace lockgw {
 namespace {
@@ -52,8 +53,8 @@
     }
     std::vector<std::filesystem::path> segments() const {
         std::vector<std::filesystem::path> all;
-        for (const auto& entry : std::filesystem::directory_iterator(node.state() / "capture"))
-            all.push_back(entry.path());
+        for (const auto& entry : std::filesystem::recursive_directory_iterator(node.state() / "capture"))
+            if (entry.is_regular_file()) all.push_back(entry.path());
         std::sort(all.begin(), all.end());
         return all;
     }
@@ -109,5 +110,92 @@
     EXPECT_NE(all.find("at s-1: served"), std::string::npos) << all;
 }
 
+// Started, kept and stopped while messages go: each file is decided alike, and what was not captured is in
+// none.
+TEST_F(CaptureProgram, BeginsKeepsAndEndsAsTheOperatorSays) {
+    start_with({member("s-1", 0), member("s-2", 1), member("s-3", 2, 8), member("s-4", 3, 8)});
+    const auto tell = [this](const char* what) {
+        return control::ask(node.state() / "control", "capture", {{"do", what}});
+    };
+    const auto status = [this] { return control::ask(node.state() / "control", "status").at("capture"); };
+    EXPECT_THROW(tell("start"), control::Refused);  // the file has it on
+    EXPECT_THROW(tell("dance"), control::Refused);
+    traffic(2, 30);
+    tell("keep");
+    for (int i = 0; i < 200 && status().at("kept") == 0; ++i) traffic(1, 2);
+    EXPECT_EQ(status().at("kept"), 1) << node.log();
+    tell("stop");
+    EXPECT_EQ(status().at("on"), false);
+    EXPECT_THROW(tell("stop"), control::Refused);
+    EXPECT_THROW(tell("keep"), control::Refused);
+    Client client = node.client();
+    EXPECT_EQ(enqueue(client, "00000000000abcde"), "+OK");
+    for (bool again = false; !again;) try {  // what was captured before may still be on its way to the disk
+            tell("start");
+            again = true;
+        } catch (const control::Refused& refused) {
+            ASSERT_STREQ(refused.what(), "what was captured before is still being written");
+        }
+    traffic(2, 30);
+    node.terminate();
+    EXPECT_EQ(node.wait(), 0) << node.log();
+    std::size_t kept = 0, sends = 0;
+    for (const auto& path : segments()) {
+        const auto segment = capture::read_segment(path);
+        EXPECT_FALSE(capture::first_difference(segment)) << path;
+        EXPECT_EQ(segment.whole(), segment.batches.size()) << path;
+        kept += path.string().find("-asked") != std::string::npos;
+        for (const auto& batch : segment.batches) {
+            for (const auto& [when, event] : batch.events) {
+                const auto* message = std::get_if<cometspoke::MessageEvent>(&event);
+                EXPECT_FALSE(message != nullptr && message->message == 0xabcde) << path;
+            }
+            for (const auto& action : batch.actions)
+                sends += std::holds_alternative<cometspoke::Send>(action);
+        }
+    }
+    EXPECT_GE(kept, 1u);
+    EXPECT_GT(sends, 0u);
+}
+
+// The commands on a capture of the built program, by their exit codes and files.
+TEST_F(CaptureProgram, IsCutMinimisedAndDrawn) {
+    start_with({member("s-1", 0), member("s-2", 1), member("s-3", 2, 8), member("s-4", 3, 8)});
+    traffic(4, 40);
+    node.terminate();
+    node.wait();
+    const std::string folder = (node.state() / "capture").string();
+    const auto path = [this](const char* name) { return (node.folder() / name).string(); };
+    program::CutWish cut;
+    cut.path = folder, cut.out = path("part.lcap");
+    EXPECT_EQ(program::cut_capture(cut), program::kUsage);  // of what?
+    cut.about = "s-3", cut.hide_names = true;
+    ASSERT_EQ(program::cut_capture(cut), program::kWell);
+    EXPECT_EQ(program::cut_capture(cut), program::kWrong);  // nothing is written over
+    const auto part = capture::read_segment(cut.out);
+    EXPECT_FALSE(capture::first_difference(part));
+    EXPECT_TRUE(part.names.empty());
+    EXPECT_EQ(capture::bytes_of(part).find("s-3"), std::string::npos);
+    program::MinimiseWish least;
+    least.path = cut.out, least.out = path("least.lcap"), least.decision = "no such words";
+    EXPECT_EQ(program::minimise_capture(least), program::kWrong);
+    least.decision = "sent ";
+    ASSERT_EQ(program::minimise_capture(least), program::kWell);
+    EXPECT_FALSE(capture::first_difference(capture::read_segment(least.out)));
+    EXPECT_LT(std::filesystem::file_size(least.out), std::filesystem::file_size(cut.out));
+    program::ReplayWish replay;
+    replay.path = folder, replay.timeline = path("line.svg");
+    EXPECT_EQ(program::replay_capture(replay), program::kWell);
+    EXPECT_GT(std::filesystem::file_size(replay.timeline), 1000u);
+    for (const char* wrong : {"soon", "s-1=-4", "s-1="}) {
+        program::ReplayWish later;
+        later.path = folder, later.later = {wrong};
+        EXPECT_EQ(program::replay_capture(later), program::kUsage) << wrong;
+    }
+    program::ReplayWish later;
+    later.path = folder, later.later = {"s-1=900", "s-2=900", "s-3=900", "s-4=900"};
+    EXPECT_EQ(program::replay_capture(later), program::kWrong);  // that is a difference
+}
+
 }  // namespace
 }  // namespace lockgw
--- a/tests/capture_test.cpp
+++ b/tests/capture_test.cpp
@@ -12,7 +12,7 @@
 #include "capture/replay.hpp"
 #include "capture/segment.hpp"
 #include "capture/story.hpp"
-#include "random_traffic.hpp"
+#include "written_down.hpp"
 
 namespace cometspoke::testing {
 namespace {
@@ -42,37 +42,6 @@
     std::size_t batches_ = 0;
 };
 
-/// A module whose whole life is written down, from a batch in the middle on.
-class WrittenDown {
-public:
-    WrittenDown(const Settings& settings, std::uint64_t seed) : module_(settings, seed) {}
-    void observe(const Event& event, Time now) {
-        module_.observe(event, now);
-        if (!bytes_.empty()) batch_.event(event, now);
-    }
-    std::vector<Action> decide(Time now) {
-        auto actions = module_.decide(now);
-        if (!bytes_.empty())
-            bytes_ += capture::frame(capture::RecordKind::Batch, batch_.finish(number_, now, actions));
-        if (++number_ == kFrom) {
-            capture::Head head;
-            head.first = number_;
-            head.steady = now;
-            head.memory = capture::memory_of(module_);
-            bytes_ = capture::magic() + capture::frame(capture::RecordKind::Head, capture::bytes_of(head));
-        }
-        return actions;
-    }
-    const std::string& bytes() const { return bytes_; }
-
-private:
-    static constexpr std::uint64_t kFrom = 40;
-    Sender module_;
-    std::string bytes_;
-    capture::BatchWriter batch_;
-    std::uint64_t number_ = 0;
-};
-
 class Captured : public ::testing::TestWithParam<Variant> {};
 INSTANTIATE_TEST_SUITE_P(Capture, Captured, ::testing::ValuesIn(variants()),
     [](const auto& info) { return std::string(info.param.name); });
@@ -178,6 +147,34 @@
     EXPECT_THROW(capture::Replay{headless}, capture::BadCapture);
 }
 
+// A build that knew less wrote fewer members: what it did not write stays as this one has it.
+TEST_F(CaptureFile, ReadsWhatAnOlderBuildWrote) {
+    const auto sound = capture::segment_of(bytes);
+    const std::string head = capture::bytes_of(*sound.head);
+    const auto whole = capture::unpacked(head);
+    msgpack::sbuffer fewer;
+    msgpack::packer<msgpack::sbuffer> pack(fewer);
+    pack.pack_array(7);  // up to `why`
+    for (std::uint32_t i = 0; i < 7; ++i) pack.pack(whole.get().via.array.ptr[i]);
+    const auto old = capture::head_of({fewer.data(), fewer.size()});
+    EXPECT_EQ(old.first, sound.head->first);
+    EXPECT_TRUE(old.memory.empty());
+    // and a message without its route, the latest member
+    MessageEvent event;
+    event.message = 5, event.left = ms(100), event.route = 3;
+    capture::Batch batch{1, ms(1), {{ms(1), event}}, {}};
+    const std::string record = capture::bytes_of(batch);
+    const auto object = capture::unpacked(record);
+    msgpack::object& told = object.get().via.array.ptr[2].via.array.ptr[1].via.array.ptr[1];
+    told.via.array.size -= 1;
+    msgpack::sbuffer older;
+    msgpack::pack(older, object.get());
+    const auto read = capture::batch_of({older.data(), older.size()});
+    const auto& message = std::get<MessageEvent>(read.events.at(0).second);
+    EXPECT_EQ(message.message, 5u);
+    EXPECT_EQ(message.route, 0u);
+}
+
 // What a decision was made of stands in the file: another setting, and it is another decision.
 TEST_F(CaptureFile, ASettingChangedIsADifference) {
     const auto segment = capture::segment_of(bytes);
@@ -238,7 +235,8 @@
     }
     std::vector<fs::path> files() const {
         std::vector<fs::path> all;
-        for (const auto& entry : fs::directory_iterator(settings.folder)) all.push_back(entry.path());
+        for (const auto& entry : fs::directory_iterator(settings.folder))
+            if (entry.is_regular_file()) all.push_back(entry.path());
         std::sort(all.begin(), all.end());
         return all;
     }
@@ -280,6 +278,41 @@
     EXPECT_EQ(next, 8000u);
 }
 
+// What was kept stays when the ring has gone round, and is decided alike; the oldest of it goes for the next.
+TEST_F(RecorderTest, KeepsTheMinutesBeforeAndWhatComesNext) {
+    settings.trigger.on = {capture::Cause::GivenUp};
+    settings.trigger.every = ms(40'000);
+    settings.trigger.after = ms(30);
+    settings.kept_bytes = 150'000;
+    capture::Recorder recorder(io, settings, {"test", {}, {}, {}}, module);
+    std::size_t most = 0;
+    for (int round = 0; round < 16; ++round) {
+        batches(recorder, 400);  // messages that nobody takes are given up all the time
+        EXPECT_LE(recorder.counters().kept_bytes, settings.kept_bytes);
+        most = std::max<std::size_t>(most, recorder.counters().kept);
+    }
+    EXPECT_GE(most, 1u);
+    const fs::path kept = settings.folder / "kept";
+    ASSERT_TRUE(fs::is_directory(kept));
+    std::size_t segments = 0;
+    for (const auto& folder : fs::directory_iterator(kept)) {
+        EXPECT_TRUE(folder.path().filename().string().ends_with("Z-given_up")) << folder.path();
+        for (const auto& file : fs::directory_iterator(folder)) {
+            const auto segment = capture::read_segment(file.path());
+            EXPECT_EQ(segment.whole(), segment.batches.size());
+            EXPECT_FALSE(capture::first_difference(segment)) << file.path();
+            ++segments;
+        }
+    }
+    EXPECT_GE(segments, 2u);
+    EXPECT_LT(capture::read_head(fs::directory_iterator(*fs::directory_iterator(kept))->path())->first,
+        capture::read_head(files().back())->first);
+    recorder.keep();  // the operator is held off by no limit
+    const auto before = recorder.counters().kept_bytes;
+    batches(recorder, 30);
+    EXPECT_NE(recorder.counters().kept_bytes, before);
+}
+
 // The folder goes away and comes back: what was lost meanwhile is told by number, and nothing else is
 // missing.
 TEST_F(RecorderTest, TellsWhatADiskThatFailedLost) {
--- a/tests/random_traffic.hpp
+++ b/tests/random_traffic.hpp
@@ -50,6 +50,7 @@
 template <class Other>
 class Both {
 public:
+    static constexpr EndpointId kEndpoints = 14;
     Both(const Variant& variant, std::uint64_t seed)
         : variant_(variant),
           random_(seed),
@@ -81,7 +82,6 @@
     Other& other() { return other_; }
 
 private:
-    static constexpr EndpointId kEndpoints = 14;
     static constexpr std::size_t kDestinations = 6;
     enum Mood { Well, Hangs, Refuses, Fails, Shut, Noisy, Down, Moods };
     struct Out {
