--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -149,7 +149,7 @@
     for (const std::string& id : update.restarted)  // connections to the process before it are dead
         if (const auto endpoint = directory_.find(id)) delivery_->close_idle(*endpoint);
     observe(event);
-    tell_routes();  // endpoints that they name may have got their numbers
+    if (!update.more) tell_routes();  // endpoints that they name may have got their numbers
 }
 
 /// The send gate: asked right before a call's first byte, on every path. A call may have been chosen before
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -19,6 +19,7 @@
 constexpr auto kLogGap = 5s;                   // between lines on failures in a row
 constexpr auto kLongList = 20ms;               // to take a list in: it is told
 constexpr std::size_t kLongBody = 256 * 1024;  // parsed beside the loop: some 1,500 targets, 5 ms
+constexpr std::size_t kPart = 100;             // entries of a long list taken in by one turn: some 1 ms
 constexpr auto kWorthTelling = 1s;             // an agent that was not heard for so long is told to be back
 
 AskPlan::Limits watch_limits() {
@@ -74,6 +75,7 @@
 
 void Discovery::move_to(const std::optional<Tcp::endpoint>& address) {
     if (address == address_ || !address || !address_) return;
+    finish_taking();
     address_ = address;
     view_.new_agent();
     asked_.clear();
@@ -100,16 +102,47 @@
 /// False where there is no room for it: it is judged at once, then.
 bool Discovery::judge_beside(
     std::uint64_t request, const View::Asked& asked, const AgentConnection::Answer& answer) {
-    return worker_.run([answer] { return parsed(answer); },
-        [this, request, asked](Worker::Came<Parsed> came) {
-            bool good = false;
-            try {
-                good = take(asked, came.take());
-            } catch (const std::exception& fault) {
-                log::error("discovery", "a long list could not be taken", {{"why", fault.what()}});
+    const auto job = [answer] {
+        Parsed all = parsed(answer);
+        if (all.list && all.list->complete) stops_first(*all.list);
+        return all;
+    };
+    return worker_.run(job, [this, request, asked](Worker::Came<Parsed> came) {
+        bool good = false;
+        try {
+            Parsed all = came.take();
+            if (all.list && all.list->complete) {
+                finish_taking();
+                const View::Update update = view_.begin(asked, std::move(*all.list), Clock::now());
+                tell(update);
+                longest_part_ = {};
+                if (view_.taking()) return go_on(request);
+                taken(update.taken, all.why);
+                good = update.taken;
+            } else {
+                good = take(asked, all);
             }
-            watch_.judged(request, good);
-        });
+        } catch (const std::exception& fault) {
+            log::error("discovery", "a long list could not be taken", {{"why", fault.what()}});
+        }
+        watch_.judged(request, good);
+    });
+}
+
+/// The next part of a long list. Between two of them the loop does what else there is.
+void Discovery::go_on(std::uint64_t request) {
+    const auto begun = Clock::now();
+    if (view_.taking()) tell(view_.go_on(kPart));
+    longest_part_ = std::max(longest_part_, Clock::now() - begun);
+    if (view_.taking()) return boost::asio::post(io_, [this, request] { go_on(request); });
+    log::info(
+        "discovery", "a long list", {{"targets", view_.size()}, {"longest_part_s", seconds(longest_part_)}});
+    taken(true, "");
+    watch_.judged(request, true);
+}
+/// Whatever else the view is told comes behind what it is being told.
+void Discovery::finish_taking() {
+    while (view_.taking()) tell(view_.go_on(kPart));
 }
 
 Discovery::Parsed Discovery::parsed(const AgentConnection::Answer& answer) {
@@ -128,6 +161,7 @@
 }
 
 bool Discovery::take(const View::Asked& asked, const Parsed& parsed) {
+    finish_taking();
     const auto begun = Clock::now();
     const View::Update update =
         parsed.list ? view_.answered(asked, *parsed.list, begun) : view_.cut_off(asked, parsed.stops, begun);
@@ -135,19 +169,24 @@
     if (const auto took = Clock::now() - begun; took > kLongList)  // nothing else was done meanwhile
         log::info(
             "discovery", "a long list", {{"targets", update.told.targets.size()}, {"took_s", seconds(took)}});
-    if (!update.taken) {
-        if (!parsed.why.empty()) log_failure(parsed.why);
-        return false;
+    taken(update.taken, parsed.why);
+    return update.taken;
+}
+
+void Discovery::taken(bool counts, const std::string& why) {
+    if (!counts) {
+        if (!why.empty()) log_failure(why);
+        return;
     }
     if (failures_ > 0 && Clock::now() - failing_since_ >= kWorthTelling)
         log::info("discovery", "heard again",
             {{"after_s", seconds(Clock::now() - failing_since_)}, {"failed_requests", failures_}});
     failures_ = 0;
-    return true;
 }
 
 /// The news of a drain counts from when it was written to us, not from when its answer ends.
 void Discovery::list_peek(std::uint64_t request, const AgentConnection::Answer& answer) {
+    finish_taking();
     if (answer.success) tell(view_.cut_off(asked_.at(request), stops_in(answer.body), Clock::now()));
 }
 
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -58,6 +58,9 @@
     static Parsed parsed(const AgentConnection::Answer& answer);
     Asker::Verdict list_over(std::uint64_t request, const AgentConnection::Answer& answer);
     bool take(const View::Asked& asked, const Parsed& parsed);
+    void taken(bool counts, const std::string& why);
+    void go_on(std::uint64_t request);
+    void finish_taking();
     bool judge_beside(std::uint64_t request, const View::Asked& asked, const AgentConnection::Answer& answer);
     void list_peek(std::uint64_t request, const AgentConnection::Answer& answer);
     void tell(const View::Update& update);
@@ -77,6 +80,7 @@
     std::map<std::uint64_t, std::vector<MessageId>> posted_;  // by request
     std::size_t failures_ = 0;                                // of the watch, in a row
     View::Time failing_since_{}, logged_{};
+    std::chrono::steady_clock::duration longest_part_{};  // of the list that is being taken in
     Asker watch_, reports_;
     Worker worker_;  // parses long lists: the loop goes on meanwhile
 };
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -74,7 +74,17 @@
 }
 
 View::Update View::answered(const Asked& asked, const TargetList& list, Time now) {
-    if (asked.epoch != epoch_) return {};
+    std::string anew;
+    if (auto doubtful = doubted(asked, list, now, anew)) return std::move(*doubtful);
+    Update update = take(list, asked.sent, now);
+    if (!anew.empty()) update.remarks.push_back(anew);
+    return update;
+}
+
+/// What an answer comes to that does not count, or says nothing new; none: it counts, and is to be taken.
+std::optional<View::Update> View::doubted(
+    const Asked& asked, const TargetList& list, Time now, std::string& anew) {
+    if (asked.epoch != epoch_) return Update{};
     const bool asked_later = !heard_ || asked.sent >= accepted_at_;
     const auto doubtful = [&](const char* what) {
         whole_needed_ = true;
@@ -82,7 +92,6 @@
             std::string(what) + ": revision " + std::to_string(list.revision) + ", have " +
                 (revision_ ? std::to_string(*revision_) : "none") + "; the whole list is asked for");
     };
-    std::string anew;
     if (asked.sent < anew_at_) return doubtful("an answer from before the agent counted anew");
     if (list.complete) {
         if (revision_ && list.revision < *revision_) {
@@ -106,9 +115,7 @@
     revision_ = list.complete ? list.revision : std::max(*revision_, list.revision);
     accepted_at_ = now;
     heard_ = now;
-    Update update = take(list, asked.sent, now);
-    if (!anew.empty()) update.remarks.push_back(anew);
-    return update;
+    return std::nullopt;
 }
 
 View::Update View::cut_off(const Asked& asked, const TargetList& entries, Time now) {
@@ -197,7 +204,10 @@
 /// unless the same answer names both.
 void View::hold_others_at(const std::set<std::string>& named_ready, Update& update) {
     std::map<Tcp::endpoint, std::string> newcomers;  // one of each address: they are walked once
-    for (const std::string& id : named_ready) newcomers.emplace(members_.at(id).target.address, id);
+    for (const std::string& id : named_ready)        // one that a spoilt entry stops besides is none
+        if (const auto member = members_.find(id);
+            member != members_.end() && member->second.target.condition == Condition::Ready)
+            newcomers.emplace(member->second.target.address, id);
     for (const auto& [address, id] : newcomers) {
         for (auto place = at_.lower_bound({address, ""}); place != at_.end() && place->first == address;
              ++place) {
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -14,9 +14,12 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "membership/member.hpp"
@@ -37,6 +40,7 @@
     struct Update {
         bool taken = false;   ///< the answer counts: nothing need be asked again because of it
         bool heeded = false;  ///< `told` says something new
+        bool more = false;    ///< another part of the same answer follows at once
         /// In discovery's form, for the core: whole or changes, with targets that are held as Draining.
         TargetList told;
         std::vector<std::string> restarted;  ///< ids whose process is another than before
@@ -52,6 +56,15 @@
     Update known(const TargetList& list, Time now);
     /// A whole answer of the agent.
     Update answered(const Asked& asked, const TargetList& list, Time now);
+    /// A long whole answer, with stops_first(), to be taken in by parts: judged now, and where it counts
+    /// go_on() takes the next part for as long as taking(). The caller goes on to the end before it tells the
+    /// view anything else. Until then whole() stays as it was.
+    Update begin(const Asked& asked, TargetList list, Time now);
+    bool taking() const { return taking_ != nullptr; }
+    /// What is left of a list that has been taken: where it is large, dropping it takes long, too.
+    std::shared_ptr<const void> let_go() { return std::exchange(spent_, nullptr); }
+    /// Takes at most `most` entries; what it tells are changes.
+    Update go_on(std::size_t most);
     /// What could be read of an answer that was cut off or cannot be read as a whole.
     Update cut_off(const Asked& asked, const TargetList& entries, Time now);
     /// Another agent takes the place of the present one: its revisions are its own, and its whole list is
@@ -81,7 +94,21 @@
         cometspoke::Condition effective() const;
     };
     using Members = std::map<std::string, Member>;
+    struct Taking {
+        TargetList list;
+        Time asked{}, now{};
+        std::size_t next = 0, next_bad = 0;  // of its entries; of its bad ones
+        struct Named {
+            cometspoke::Condition condition;
+            bool before;  // it was known before this list
+        };
+        std::unordered_map<std::string, Named> named;  // so far
+        std::optional<std::string> erased_to;          // members up to this id are named, or gone
+    };
 
+    std::optional<Update> doubted(const Asked& asked, const TargetList& list, Time now, std::string& remark);
+    bool take_entry(std::size_t place, Update& update);
+    bool erase_unnamed(std::size_t most, Update& update);
     bool readable(const Target& target, std::string& why) const;
     TargetList sound(const TargetList& list, Update& update) const;
     Update take(const TargetList& list, Time asked, Time now);
@@ -104,8 +131,14 @@
     Time accepted_at_{};  // when the last answer that counts came
     Time anew_at_{};      // when the agent was last seen to count anew
     std::optional<Time> heard_;
+    std::shared_ptr<Taking> taking_;
+    std::shared_ptr<const void> spent_;
 };
 
+/// For View::begin(): drains, then departures, then the others, so that what stops a target is taken first
+/// and of two entries for one id the one that stops it counts.
+void stops_first(TargetList& list);
+
 const char* text_of(View::Gate gate);
 
 }  // namespace lockgw
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -182,7 +182,7 @@
         unconnected_.resize(settings_.kinds.size(), kLongAgo);
         if (settings_.must_subscribe) watch_at_ = kLongAgo;
         const std::size_t most = std::min<std::size_t>(settings_.most_held, 1u << 20);
-        messages_.reserve(most), ends_.reserve(most);  // lest a turn moves all of them to a larger table
+        messages_.reserve(most), ends_.reserve(most), endpoints_.reserve(1u << 16);  // none grows in a turn
     }
 
     bool apart(const Endpoint& endpoint) const { return settings_.kinds[endpoint.kind].routes_apart; }
--- a/src/routes/table.hpp
+++ b/src/routes/table.hpp
@@ -49,7 +49,7 @@
 
 private:
     std::map<std::int64_t, std::vector<Member>> by_destination_;
-    std::unordered_map<std::string, std::int64_t> where_;
+    std::map<std::string, std::int64_t> where_;  // no hash table: it would move all of them in one turn
 };
 /// The operator's rows stand for the members where nothing else tells them: all are ready.
 Members members_of(const config::OperatorFile& file);
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -40,6 +40,20 @@
     View::Update changes(std::int64_t revision, std::vector<Target> targets) {
         return answer(ask(), revision, false, std::move(targets));
     }
+    /// A whole list by parts; what it tells is put together.
+    View::Update in_parts(const View::Asked& asked, TargetList list, std::mt19937_64& random) {
+        stops_first(list);
+        View::Update all = view.begin(asked, std::move(list), now);
+        while (view.taking()) {
+            const View::Update part = view.go_on(1 + random() % 3);
+            EXPECT_FALSE(part.told.complete);
+            EXPECT_EQ(part.more, view.taking());
+            all.heeded |= part.heeded;
+            all.told.targets.insert(
+                all.told.targets.end(), part.told.targets.begin(), part.told.targets.end());
+        }
+        return all;
+    }
     Gate gate(const std::string& id, int port = 80, std::int64_t destination = 7) {
         return view.gate(id, tcp_endpoint("127.0.0.1:" + std::to_string(port), ""), destination);
     }
@@ -317,7 +331,9 @@
                     }
                 continue;
             }
-            const auto update = view.answered(one.asked, one.answer, now);
+            const auto update = one.answer.complete && random() % 2
+                                    ? in_parts(one.asked, one.answer, random)
+                                    : view.answered(one.asked, one.answer, now);
             for (const Target& told : one.answer.targets)
                 if (update.taken && update.heeded && told.condition != Condition::Ready) {
                     ASSERT_NE(gate(told.id, told.address.port()), Gate::Open) << told.id << " run " << run;
@@ -341,5 +357,51 @@
     }
 }
 
+// What is told by parts comes to what is told at once: whom the core then knows, and how they stand.
+TEST_F(ViewTest, PartsComeToTheSameAsTheWhole) {
+    const std::uint64_t seed = std::random_device{}();
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    using Core = std::map<std::string, std::string>;
+    const auto heed = [](Core& core, const View::Update& update) {
+        if (update.told.complete) core.clear();
+        for (const Target& one : update.told.targets) {
+            if (one.condition == Condition::Gone)
+                core.erase(one.id);
+            else  // where it drains its address does not matter
+                core[one.id] =
+                    std::to_string(static_cast<int>(one.condition)) + " " + one.zone + " " + one.kind + " " +
+                    std::to_string(one.destination) +
+                    (one.condition == Condition::Ready ? ":" + std::to_string(one.address.port()) : "");
+        }
+    };
+    for (int run = 0; run < 400; ++run) {
+        view = View{{"a"}, {"shop"}};
+        View once{{"a"}, {"shop"}};
+        Core by_parts, at_once;
+        for (std::int64_t revision = 1; revision < 12; ++revision) {
+            TargetList list{revision, random() % 3 != 0 || revision == 1, {}, {}};
+            for (std::size_t n = random() % 12; n > 0; --n) {
+                const std::string id = "s" + std::to_string(random() % 9);
+                Target one = target(id, 100 + static_cast<int>(random() % 6),
+                    std::array{Condition::Ready, Condition::Ready, Condition::Draining,
+                        Condition::Gone}[random() % 4],
+                    static_cast<std::int64_t>(random() % 2));
+                if (random() % 10 == 0) one.kind = random() % 2 ? "shop" : "moon";
+                list.targets.push_back(std::move(one));
+            }
+            if (random() % 4 == 0)
+                list.bad.push_back({"s" + std::to_string(random() % 9), std::nullopt, "odd"});
+            stops_first(list);
+            const View::Asked asked = ask();
+            heed(at_once, once.answered(asked, list, now));
+            heed(by_parts, list.complete ? in_parts(asked, list, random) : view.answered(asked, list, now));
+            ASSERT_EQ(by_parts, at_once) << "run " << run << ", revision " << revision;
+            ASSERT_EQ(view.ask_from(), once.ask_from());
+            ASSERT_EQ(view.size(), once.size());
+        }
+    }
+}
+
 }  // namespace
 }  // namespace lockgw
