--- a/src/capture/minimise.cpp
+++ b/src/capture/minimise.cpp
@@ -67,7 +67,7 @@
 class Minimiser {
 public:
     Minimiser(const Segment& segment, const Chosen& decision, std::size_t most,
-        const std::function<void(Settings&)>& changes,
+        const std::vector<Action>& also, const std::function<void(Settings&)>& changes,
         const std::function<void(std::size_t, std::size_t)>& progress)
         : segment_(segment),
           decision_(bytes_of_one(decision.action)),
@@ -76,6 +76,7 @@
           progress_(progress),
           settings_(Replay(segment).state().settings_),
           memory_(segment.head->memory) {
+        for (const Action& action : also) also_.insert(bytes_of_one(action));
         batches_.assign(segment.batches.begin(),
             segment.batches.begin() + static_cast<std::ptrdiff_t>(decision.place) + 1);
     }
@@ -116,12 +117,16 @@
         Sender module = this->module();
         if (changed) changes_(module.state().settings_);
         std::vector<Action> actions;
+        std::set<std::string> missing = also_;
         for (const Batch& batch : batches) {
             for (const auto& [when, event] : batch.events) module.observe(event, when);
             actions = module.decide(batch.decided);
+            if (missing.empty()) continue;
+            for (const Action& action : actions) missing.erase(bytes_of_one(action));
         }
-        return std::any_of(actions.begin(), actions.end(),
-            [this](const Action& action) { return bytes_of_one(action) == decision_; });
+        return missing.empty() && std::any_of(actions.begin(), actions.end(), [this](const Action& action) {
+            return bytes_of_one(action) == decision_;
+        });
     } catch (const std::exception&) {
         return false;  // what is left makes no sense to the module
     }
@@ -242,6 +247,7 @@
 
     const Segment& segment_;
     std::string decision_;
+    std::set<std::string> also_;
     std::size_t most_, trials_ = 0;
     const std::function<void(Settings&)>& changes_;
     const std::function<void(std::size_t, std::size_t)>& progress_;
@@ -262,9 +268,9 @@
 }
 
 Minimal minimal(const Segment& segment, const Chosen& decision, std::size_t most,
-    const std::function<void(Settings&)>& changes,
+    const std::vector<Action>& also, const std::function<void(Settings&)>& changes,
     const std::function<void(std::size_t, std::size_t)>& progress) {
-    return Minimiser(segment, decision, most, changes, progress).run();
+    return Minimiser(segment, decision, most, also, changes, progress).run();
 }
 
 }  // namespace lockgw::capture
--- a/src/capture/minimise.hpp
+++ b/src/capture/minimise.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "capture/replay.hpp"
 
@@ -28,9 +29,12 @@
     std::size_t events_before = 0, events = 0;
 };
 /// At most `most` trials; what is found until then holds. `progress`: trials, events that are left.
-/// `changes`: only what also loses the decision with these settings counts (a test of what they decide).
-/// Throws BadCapture where this build does not decide so at all.
+/// `also`: decisions that must be met on the way, for a decision may have causes that were not meant: a
+/// message is given up as well where no list was ever told. `changes`: only what also loses the decision with
+/// these settings counts (a test of what they decide). Throws BadCapture where this build does not decide so
+/// at all.
 Minimal minimal(const Segment& segment, const Chosen& decision, std::size_t most = 4000,
+    const std::vector<cometspoke::Action>& also = {},
     const std::function<void(cometspoke::Settings&)>& changes = {},
     const std::function<void(std::size_t, std::size_t)>& progress = {});
 
--- a/src/capture/story.cpp
+++ b/src/capture/story.cpp
@@ -194,9 +194,8 @@
     std::vector<std::string> all;
     if (endpoint.condition != Condition::Ready) all.push_back(word_of(endpoint.condition));
     if (route.wait_until > now) all.push_back("a told wait");
-    if (endpoint.health != Health::Well)
-        all.push_back(std::string(word_of(endpoint.health)) +
-                      (endpoint.cold_tag > now ? ", no trial is due" : ", a trial may go"));
+    if (endpoint.health != Health::Well && endpoint.cold_tag > now)
+        all.push_back(std::string(word_of(endpoint.health)) + ", no trial is due");
     if (route.limit_tag > now) all.push_back("its limit is used up for now");
     return all;
 }
@@ -244,6 +243,7 @@
     policy::Endpoint& endpoint = found->second;
     const auto hindered = hindrances(state, id, now);
     std::string text = std::string(word_of(endpoint.condition)) + ", " + word_of(endpoint.health);
+    if (endpoint.health != Health::Well && endpoint.cold_tag <= now) text += ", a trial may go";
     if (!hindered.empty()) text += "; nothing may go: " + joined(hindered);
     return text;
 }
--- a/src/capture/timeline.cpp
+++ b/src/capture/timeline.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr int kColumns = 1000, kLeft = 230, kRow = 26, kTop = 46, kRight = 20;
+constexpr int kColumns = 1000, kLeft = 230, kRow = 26, kTop = 46, kRight = 60;
 
 /// How an endpoint stood, for its band.
 enum class Band { Unknown, Well, Sick, Returning, Draining };
@@ -289,11 +289,11 @@
         int x = kLeft;
         for (const auto& [fill, text] : std::initializer_list<std::pair<const char*, const char*>>{
                  {"#dff2df", "well"}, {"#f7d4d0", "sick"}, {"#fdf0c4", "returning"}, {"#d5d5e8", "draining"},
-                 {"#3060c0", "told wait"}, {"#2c8a2c", "served"}, {"#e08a00", "turned away, refused"},
+                 {"#3060c0", "told wait"}, {"#2c8a2c", "served"}, {"#e08a00", "turned away"},
                  {"#c00000", "failed, given up"}, {"#9db7d9", "held"}}) {
             rectangle(x - kLeft, y - 9, 10, 10, fill);
             out_ += fmt::format("<text x=\"{}\" y=\"{}\">{}</text>\n", x + 14, y, text);
-            x += 110;
+            x += 115;
         }
     }
 
--- a/src/config/stand_alone.cpp
+++ b/src/config/stand_alone.cpp
@@ -59,7 +59,7 @@
     return members;
 }
 
-Json stand_alone(const OperatorFile& file, Problems& problems) {
+Json stand_alone(const OperatorFile& file, Problems& problems, bool with_members) {
     const auto missing = [&](const std::string& what) {
         problems.add({}, "missing-key", what + "; there is no NODE_CONFIG that tells it");
     };
@@ -86,7 +86,7 @@
         {"settings", settings_of(file)}, {"state", own.state}};
     if (own.discovery) {
         node["discovery"] = own.discovery->text;
-    } else {
+    } else if (with_members) {
         node["known"] = {{"revision", 0}, {"complete", true}};
         node["known"]["members"] = static_members(file);  // not in the list above, which copies
     }
--- a/src/config/stand_alone.hpp
+++ b/src/config/stand_alone.hpp
@@ -11,8 +11,9 @@
 
 namespace lockgw::config {
 
-/// Adds a problem for each thing that a file alone must tell and does not.
-Json stand_alone(const OperatorFile& file, Problems& problems);
+/// Adds a problem for each thing that a file alone must tell and does not. `with_members`: static endpoints
+/// are in it as the known list.
+Json stand_alone(const OperatorFile& file, Problems& problems, bool with_members = true);
 /// Adds a problem for each thing in the file that NODE_CONFIG tells.
 void check_beside_platform(const OperatorFile& file, Problems& problems);
 /// The lower one of each limit.
--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -69,8 +69,8 @@
     return node == nullptr ? place() : place_of(*node);
 }
 
-const toml::node* TableReader::get(const char* key) {
-    asked_.insert(key);
+const toml::node* TableReader::get(std::string_view key) {
+    asked_.push_back(key);
     return table_.get(key);
 }
 
@@ -92,7 +92,7 @@
 }
 Word TableReader::needed_word(const char* key) {
     if (!table_.contains(key)) {
-        asked_.insert(key);
+        asked_.push_back(key);
         problem(place(), "missing-key", std::string("there is no ") + key + "; write " + key + " = \"...\"");
         return {"", place()};
     }
@@ -188,17 +188,18 @@
 
 void TableReader::finish() {
     for (const auto& [key, node] : table_) {
-        const std::string name(key.str());
-        if (asked_.contains(name)) continue;
-        const std::string* nearest = nullptr;
-        for (const std::string& known : asked_)
-            if (distance(name, known) <= 2 && (!nearest || distance(name, known) < distance(name, *nearest)))
-                nearest = &known;
+        const std::string_view name = key.str();
+        if (std::find(asked_.begin(), asked_.end(), name) != asked_.end()) continue;
+        std::string_view nearest;
+        for (const std::string_view known : asked_)
+            if (distance(name, known) <= 2 &&
+                (nearest.empty() || distance(name, known) < distance(name, nearest)))
+                nearest = known;
         const auto& begin = key.source().begin;
         problem({begin.line, begin.column}, "unknown-key",
-            "there is no key " + name +
-                (nearest ? "; did you mean " + *nearest + "?"
-                         : "; take it out, or look it up in the manual"));
+            "there is no key " + std::string(name) +
+                (nearest.empty() ? "; take it out, or look it up in the manual"
+                                 : "; did you mean " + std::string(nearest) + "?"));
     }
 }
 
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -1,7 +1,8 @@
 /// A TOML table read strictly: a wrong type, a value out of range and a key that nobody asked for are
 /// problems with their places. Reading goes on, so that all of them are found.
 ///
-/// A reader notes the keys that it was asked for; finish() reports the others. Threads: one.
+/// A reader notes the keys that it was asked for (literals: they outlive it); finish() reports the others.
+/// Threads: one.
 #pragma once
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/problems.hpp"
@@ -80,13 +82,13 @@
     void finish();
 
 private:
-    const toml::node* get(const char* key);
+    const toml::node* get(std::string_view key);
     void wrong_type(const toml::node& node, const char* key, const char* wanted);
 
     const toml::table& table_;
     std::string what_;
     Problems& problems_;
-    std::set<std::string, std::less<>> asked_;
+    std::vector<std::string_view> asked_;  // literals: a handful a table
 };
 
 constexpr std::size_t kMostFileBytes = 16u << 20;  ///< 10,000 destinations take some 2 MB
--- a/src/program/captures.cpp
+++ b/src/program/captures.cpp
@@ -76,9 +76,16 @@
         for (const Segment& run : runs_at(wish.path)) {
             const auto decision = capture::chosen(run, wish.decision);
             if (!decision) continue;
+            std::vector<cometspoke::Action> also;
+            for (const std::string& words : wish.also) {
+                const auto met = capture::chosen(run, words);
+                if (!met || met->place > decision->place)
+                    throw std::runtime_error("nothing before it reads \"" + words + '"');
+                also.push_back(met->action);
+            }
             const auto progress = progress_of(false, "events left");
             const capture::Minimal least = capture::minimal(
-                run, *decision, wish.trials, changes, [&](std::size_t trials, std::size_t left) {
+                run, *decision, wish.trials, also, changes, [&](std::size_t trials, std::size_t left) {
                     if (progress && trials % 50 == 0) progress(trials, left);
                 });
             if (progress) std::cerr << '\n';
--- a/src/program/check.cpp
+++ b/src/program/check.cpp
@@ -35,7 +35,9 @@
 /// Tells what is wrong; none where anything is.
 std::optional<Loaded> loaded_or_told(const Sources& sources, bool json) {
     Problems problems(sources.operator_file);
-    auto loaded = load(sources, problems, progress(json));
+    Sources only = sources;
+    only.only_checked = true;
+    auto loaded = load(only, problems, progress(json));
     if (loaded) return loaded;
     if (json)
         std::cout << Json{{"ok", false}, {"count", problems.count()}, {"problems", json_of(problems)}}.dump(2)
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -29,6 +29,7 @@
 struct MinimiseWish {
     std::string path, out;
     std::string decision;           ///< words of it, as --why prints them
+    std::vector<std::string> also;  ///< words of decisions that must be met before it
     std::vector<std::string> sets;  ///< only what also loses it with these settings
     std::size_t trials = 4000;
 };
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -75,7 +75,7 @@
             config::check_beside_platform(loaded.file, problems);
             loaded.config = config_of_file(sources.node_config);
         } else if (problems.empty()) {
-            Json node = config::stand_alone(loaded.file, problems);
+            Json node = config::stand_alone(loaded.file, problems, !sources.only_checked);
             if (problems.empty()) loaded.config = read_config(std::move(node));
         }
         if (!problems.empty()) return std::nullopt;
--- a/src/program/load.hpp
+++ b/src/program/load.hpp
@@ -19,6 +19,7 @@
     std::string node_config;    ///< empty: none
     std::string state;          ///< the folder that lasts, where neither tells it
     std::string members;        ///< a list in discovery's form in place of the known one; empty: none
+    bool only_checked = false;  ///< nothing is to run: the file's own rows stand for the list of its members
 };
 
 struct Loaded {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -96,6 +96,7 @@
         ->check(CLI::ExistingPath);
     minimise->add_option("--decision", least.decision, "words of it, as --why prints them")->required();
     minimise->add_option("--out", least.out, "the new file")->required();
+    minimise->add_option("--also", least.also, "words of a decision that must be met before it");
     minimise->add_option("--set", least.sets, "only what also loses the decision with this setting");
     minimise->add_option("--trials", least.trials, "at most")->check(CLI::Range(1, 1'000'000));
     ReplayWish wish;
--- a/tests/capture_parts_test.cpp
+++ b/tests/capture_parts_test.cpp
@@ -186,6 +186,34 @@
     EXPECT_EQ(out.str().find("batch " + std::to_string(segment.head->first + 51) + " at"), std::string::npos);
 }
 
+// What docs/operators/capture.md tells of the capture that lies beside it.
+TEST(ShippedCapture, IsDecidedAlikeAndTellsItsStory) {
+    const Segment segment = capture::read_segment(SHIPPED_CAPTURE);
+    EXPECT_FALSE(capture::first_difference(segment));
+    std::string all;
+    for (const auto& line :
+        capture::story_of(segment, *capture::subject_of(segment, "insurer.example.org/a")))
+        all += std::to_string(line.wall_ms % 100'000) + " " + line.text + "\n";
+    std::size_t at = 0;
+    for (const char* told : {"85525 sent ", "85776 insurer.example.org/a is ready, sick", "88114 attempt",
+             "92921 attempt 0 of 9b1f03aa5c7e0076 at insurer.example.org/a: turned away unseen",
+             "94839 insurer.example.org/a is ready, returning"}) {
+        at = all.find(told, at);
+        ASSERT_NE(at, std::string::npos) << told << "\n" << all;
+    }
+    // it may have other causes than the one that was meant, unless that is said
+    const auto decision = capture::chosen(segment, "gave 9b1f03aa5c7e0046 up");
+    const auto sent =
+        capture::chosen(segment, "sent 9b1f03aa5c7e0046 to insurer.example.org/a, waiting 2773.4");
+    ASSERT_TRUE(decision && sent);
+    const auto least = capture::minimal(segment, *decision);
+    const auto meant = capture::minimal(segment, *decision, 4000, {sent->action});
+    EXPECT_EQ(least.events, 1u);
+    EXPECT_GT(meant.events, 1u);
+    EXPECT_LT(meant.events, meant.events_before / 5);
+    EXPECT_FALSE(capture::first_difference(meant.segment));
+}
+
 TEST(Trigger, NoticesWhatItIsToldToAndNoMoreOftenThanThat) {
     using capture::Cause;
     capture::TriggerSettings settings;
