--- a/src/capture/segment.cpp
+++ b/src/capture/segment.cpp
@@ -1,9 +1,11 @@
 #include "capture/segment.hpp"
 
+#include <algorithm>
 #include <boost/crc.hpp>
 #include <boost/endian/conversion.hpp>
 #include <cstring>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
 #include "capture/archive.hpp"
@@ -157,6 +159,14 @@
     throw BadCapture(path.string() + ": " + bad.what());
 }
 
+bool may_tell_of(const std::filesystem::path& path, cometspoke::MessageId message) {
+    msgpack::sbuffer id;
+    msgpack::pack(id, message);  // the same bytes in events, actions and memories
+    const std::string bytes = content(path);
+    const std::boyer_moore_horspool_searcher searcher(id.data(), id.data() + id.size());
+    return std::search(bytes.begin(), bytes.end(), searcher) != bytes.end();
+}
+
 std::optional<Head> read_head(const std::filesystem::path& path) {
     std::ifstream stream(path, std::ios::binary);
     std::string line;
--- a/src/capture/segment.hpp
+++ b/src/capture/segment.hpp
@@ -52,6 +52,8 @@
 Segment read_segment(const std::filesystem::path& path);
 /// The same of bytes.
 Segment segment_of(std::string_view bytes);
+/// Whether the file can say anything of a message, without decoding it: a day's capture is searched so.
+bool may_tell_of(const std::filesystem::path& path, cometspoke::MessageId message);
 /// The head alone, for a list of segments.
 std::optional<Head> read_head(const std::filesystem::path& path);
 
--- a/src/capture/story.cpp
+++ b/src/capture/story.cpp
@@ -335,12 +335,17 @@
     return std::visit(ActionWords{name_of}, action);
 }
 
+std::optional<MessageId> message_of(const std::string& text) {
+    if (text.size() != 16 || text.find_first_not_of("0123456789abcdef") != std::string::npos)
+        return std::nullopt;
+    return std::strtoull(text.c_str(), nullptr, 16);
+}
+
 std::optional<Subject> subject_of(const Segment& segment, const std::string& text) {
     Subject subject;
     for (const Named& one : segment.names)
         if (one.name == text) return subject.endpoint = one.endpoint, subject;
-    if (text.size() == 16 && text.find_first_not_of("0123456789abcdef") == std::string::npos)
-        return subject.message = std::strtoull(text.c_str(), nullptr, 16), subject;
+    if ((subject.message = message_of(text))) return subject;
     const std::string unnamed = "endpoint ";
     if (text.starts_with(unnamed) && text.size() < 20 &&
         text.find_first_not_of("0123456789", unnamed.size()) == std::string::npos)
--- a/src/capture/story.hpp
+++ b/src/capture/story.hpp
@@ -19,6 +19,8 @@
     std::optional<cometspoke::EndpointId> endpoint;
     std::optional<cometspoke::DestinationId> destination;
 };
+/// 16 hex digits.
+std::optional<cometspoke::MessageId> message_of(const std::string& text);
 /// 16 hex digits: a message; "destination N" or a whole number: a destination; the name of an endpoint, or
 /// "endpoint N". None where the segment knows no such thing.
 std::optional<Subject> subject_of(const Segment& segment, const std::string& text);
--- a/src/program/replay.cpp
+++ b/src/program/replay.cpp
@@ -158,7 +158,9 @@
 int tell_story(const std::vector<fs::path>& files, const std::string& why, bool json) {
     Json all = Json::array();
     bool known = false;
+    const auto message = capture::message_of(why);
     for (const fs::path& file : files) {
+        if (message && files.size() > 1 && !capture::may_tell_of(file, *message)) continue;
         const Segment segment = capture::read_segment(file);
         const auto subject = capture::subject_of(segment, why);
         if (!subject) continue;
--- a/tests/capture_parts_test.cpp
+++ b/tests/capture_parts_test.cpp
@@ -201,6 +201,8 @@
         at = all.find(told, at);
         ASSERT_NE(at, std::string::npos) << told << "\n" << all;
     }
+    EXPECT_TRUE(capture::may_tell_of(SHIPPED_CAPTURE, 0x9b1f03aa5c7e0046));
+    EXPECT_FALSE(capture::may_tell_of(SHIPPED_CAPTURE, 0x9b1f03aa5c7f0046));
     // it may have other causes than the one that was meant, unless that is said
     const auto decision = capture::chosen(segment, "gave 9b1f03aa5c7e0046 up");
     const auto sent =
