--- a/src/program/captures.cpp
+++ b/src/program/captures.cpp
@@ -14,18 +14,6 @@
 
 namespace {
 
-/// Runs `use`, with the exit code of what it throws.
-template <class Use>
-int guarded(Use use) try {
-    return use();
-} catch (const std::invalid_argument& wrong) {
-    std::cerr << "lockgw: " << wrong.what() << '\n';
-    return kUsage;
-} catch (const std::exception& bad) {
-    std::cerr << "lockgw: " << bad.what() << '\n';
-    return kWrong;
-}
-
 capture::Part part_of(const Segment& segment, const CutWish& wish) {
     if (!wish.about.empty()) {
         const auto subject = capture::subject_of(segment, wish.about);
@@ -47,7 +35,7 @@
 }  // namespace
 
 int cut_capture(const CutWish& wish) {
-    return guarded([&] {
+    return told_wrong([&] {
         if (wish.about.empty() && wish.from.empty() && wish.to.empty())
             throw std::invalid_argument("say which part: --from, --to or --about");
         std::optional<Segment> out;
@@ -70,7 +58,7 @@
 }
 
 int minimise_capture(const MinimiseWish& wish) {
-    return guarded([&] {
+    return told_wrong([&] {
         if (wish.decision.empty()) throw std::invalid_argument("--decision: write words of it");
         const auto changes = settings_change(wish.sets);
         for (const Segment& run : runs_at(wish.path)) {
--- a/src/program/replay.cpp
+++ b/src/program/replay.cpp
@@ -179,9 +179,7 @@
     return kWrong;
 }
 
-}  // namespace
-
-int replay_capture(const ReplayWish& wish) try {
+int replayed_all(const ReplayWish& wish) {
     if (wish.step || !wish.until.empty()) return walk(wish, std::cin, std::cout);
     if (!wish.timeline.empty()) return draw(wish);
     const auto files = segments_at(wish.path);
@@ -207,12 +205,12 @@
     }
     if (wish.json) std::cout << all.dump(2) << '\n';
     return same ? kWell : kWrong;
-} catch (const std::invalid_argument& wrong) {
-    std::cerr << "lockgw: " << wrong.what() << '\n';
-    return kUsage;
-} catch (const std::exception& bad) {
-    std::cerr << "lockgw: " << bad.what() << '\n';
-    return kWrong;
+}
+
+}  // namespace
+
+int replay_capture(const ReplayWish& wish) {
+    return told_wrong([&] { return replayed_all(wish); });
 }
 
 }  // namespace lockgw::program
--- a/src/program/replay_words.hpp
+++ b/src/program/replay_words.hpp
@@ -3,12 +3,14 @@
 
 #include <filesystem>
 #include <functional>
-#include <optional>
+#include <iostream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "capture/change.hpp"
 #include "capture/story.hpp"
+#include "program/commands.hpp"
 
 namespace lockgw::program {
 
@@ -30,6 +32,18 @@
     const std::vector<cometspoke::Action>& actions, const capture::NameOf& name_of);
 void tell_difference(const capture::Segment& segment, const capture::Difference& difference);
 
+/// Runs `use`; what it throws is told, with its exit code.
+template <class Use>
+int told_wrong(Use use) try {
+    return use();
+} catch (const std::invalid_argument& wrong) {
+    std::cerr << "lockgw: " << wrong.what() << '\n';
+    return kUsage;
+} catch (const std::exception& bad) {
+    std::cerr << "lockgw: " << bad.what() << '\n';
+    return kWrong;
+}
+
 /// Shown to a person at a terminal, else empty.
 std::function<void(std::size_t, std::size_t)> progress_of(bool json, const char* what);
 
--- a/tests/capture_parts_test.cpp
+++ b/tests/capture_parts_test.cpp
@@ -43,6 +43,20 @@
     }
 }
 
+// The system clock goes back an hour between two segments: moments are those of its first head, and go on.
+TEST(CaptureClock, AStepOfTheSystemClockMovesNothing) {
+    const Segment whole = written_down({"usual", [](Settings&) {}, 0.6}, 5, 200);
+    const std::size_t half = whole.whole() / 2;
+    std::vector<Segment> parts{capture::cut(whole, {0, half}), capture::cut(whole, {half, whole.whole()})};
+    parts[1].head->wall_ms -= 3'600'000;
+    const auto runs = capture::joined(parts);
+    ASSERT_EQ(runs.size(), 1u);
+    EXPECT_FALSE(capture::first_difference(runs[0]));
+    const auto last = capture::wall_of(*whole.head, whole.batches.back().decided);
+    EXPECT_EQ(capture::part_between(runs[0], last, last + 10).last, whole.whole());
+    EXPECT_EQ(capture::part_between(runs[0], last - 3'600'000, last).first, 0u);
+}
+
 // Whatever was decided: the smallest capture that shows it does, and none of its events can be left out.
 TEST_P(CaptureParts, TheSmallestCaptureShowsTheDecision) {
     const Seeds seeds(4);
--- a/tests/capture_test.cpp
+++ b/tests/capture_test.cpp
@@ -214,17 +214,21 @@
     }
     ~RecorderTest() override { fs::remove_all(folder); }
 
-    /// So many batches of one message each.
+    /// A batch of one message.
+    void one(capture::Recorder& recorder) {
+        now += ms(10);
+        MessageEvent event;
+        event.message = ++id;
+        event.destination = 1;
+        event.left = ms(500);
+        module.observe(event, now);
+        recorder.observed(event, now);
+        recorder.decided(now, module.decide(now));
+    }
+    /// So many of them.
     void batches(capture::Recorder& recorder, int count) {
         for (int i = 0; i < count; ++i) {
-            now += ms(10);
-            MessageEvent event;
-            event.message = ++id;
-            event.destination = 1;
-            event.left = ms(500);
-            module.observe(event, now);
-            recorder.observed(event, now);
-            recorder.decided(now, module.decide(now));
+            one(recorder);
             if (i % 50 == 0) io.run_for(1ms);
         }
         settle();
@@ -337,5 +341,29 @@
     EXPECT_EQ(segment.whole(), segment.batches.size());
 }
 
+// Blocks that nobody takes, as with a disk that hangs, are bounded: recording pauses, and says so afterwards.
+TEST_F(RecorderTest, PausesWhereTheDiskIsTooSlow) {
+    {
+        capture::Recorder recorder(io, settings, {"test", {}, {}, {}}, module);
+        for (int i = 0; i < 20'000 && !recorder.failing();
+             ++i) {  // the loop hears of no block that was written
+            one(recorder);
+        }
+        ASSERT_TRUE(recorder.failing());
+        for (int i = 0; i < 100 && recorder.failing(); ++i)
+            batches(recorder, 10), std::this_thread::sleep_for(5ms);
+        ASSERT_FALSE(recorder.failing());
+        batches(recorder, 100);
+    }
+    bool told = false;
+    for (const auto& path : files()) {
+        const auto segment = capture::read_segment(path);
+        told |= segment.head->why.find("the disk is too slow") != std::string::npos;
+        EXPECT_FALSE(capture::first_difference(segment)) << path;
+        EXPECT_EQ(segment.whole(), segment.batches.size()) << path;
+    }
+    EXPECT_TRUE(told);
+}
+
 }  // namespace
 }  // namespace cometspoke::testing
