Membership: a part of a long list that cannot be used no longer breaks off the watch

Need: read once more: an exception in a part (more targets than the directory has numbers for) ended the chain of parts, and the request was never judged.

Change: the part is logged, the others are taken, and the list is asked for again.

Result: the tests of membership, reload and the node pass; a list of over 100,000 has no test.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -116,6 +116,7 @@
                 const View::Update update = view_.begin(asked, std::move(*all.list), Clock::now());
                 tell(update);
                 longest_part_ = {};
+                part_failed_ = false;
                 if (view_.taking()) return go_on(request);
                 taken(update.taken, all.why);
                 good = update.taken;
@@ -132,17 +133,27 @@
 /// The next part of a long list. Between two of them the loop does what else there is.
 void Discovery::go_on(std::uint64_t request) {
     const auto begun = Clock::now();
-    if (view_.taking()) tell(view_.go_on(kPart));
+    if (view_.taking()) tell_part();
     longest_part_ = std::max(longest_part_, Clock::now() - begun);
     if (view_.taking()) return boost::asio::post(io_, [this, request] { go_on(request); });
     log::info(
         "discovery", "a long list", {{"targets", view_.size()}, {"longest_part_s", seconds(longest_part_)}});
     taken(true, "");
-    watch_.judged(request, true);
+    watch_.judged(request, !part_failed_);
+}
+/// What the core cannot make use of (more targets than it has numbers for) must not break off the list, or
+/// the watch with it: the other parts are taken, and the list is asked for again.
+void Discovery::tell_part() {
+    try {
+        tell(view_.go_on(kPart));
+    } catch (const std::exception& fault) {
+        part_failed_ = true;
+        log::error("discovery", "a part of a long list could not be taken", {{"why", fault.what()}});
+    }
 }
 /// Whatever else the view is told comes behind what it is being told.
 void Discovery::finish_taking() {
-    while (view_.taking()) tell(view_.go_on(kPart));
+    while (view_.taking()) tell_part();
 }
 
 Discovery::Parsed Discovery::parsed(const AgentConnection::Answer& answer) {
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -60,6 +60,7 @@
     bool take(const View::Asked& asked, const Parsed& parsed);
     void taken(bool counts, const std::string& why);
     void go_on(std::uint64_t request);
+    void tell_part();
     void finish_taking();
     bool judge_beside(std::uint64_t request, const View::Asked& asked, const AgentConnection::Answer& answer);
     void list_peek(std::uint64_t request, const AgentConnection::Answer& answer);
@@ -80,6 +81,7 @@
     std::map<std::uint64_t, std::vector<MessageId>> posted_;  // by request
     std::size_t failures_ = 0;                                // of the watch, in a row
     View::Time failing_since_{}, logged_{};
+    bool part_failed_ = false;
     std::chrono::steady_clock::duration longest_part_{};  // of the list that is being taken in
     Asker watch_, reports_;
     Worker worker_;  // parses long lists: the loop goes on meanwhile
