First list call within 300 ms of a start: news that the agent has counts as told

Ruled out: SIGHUP and the move to another agent (it came at 5.9 s), restarts (6.0 s), a watch that hangs (none failed). At fault: discovery.cpp, start_spread_: 20 ms for each forwarder, 5.6 s with 282, in which a forwarder sends by its old list and asks nobody; 2 s with a hundred, where no list changed so early. Change: the spread is 300 ms at most, 200 ms short of the 500 ms after which a drain binds. The way not taken: to send nothing until the agent was heard, for an agent that is silent would end the service. A test beside a scripted agent with 300 forwarders and four seeds; it fails with the bound taken out.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -19,6 +19,9 @@
 constexpr auto kLeastHold = 1500ms, kMostHold = 10'000ms, kHoldOfEach = 100ms;
 // Between two calls of all that start or are refused together.
 constexpr auto kStartGap = 20ms, kRefusedGap = 20ms;
+// What the agent has counts as told, asked for or not, and new sends must stop 500 ms after a drain is told:
+// whoever starts asks before that, however many start together.
+constexpr auto kMostStartSpread = 300ms;
 // What an agent has to tell counts as told 6 s later: whoever is refused must ask again before that.
 constexpr auto kMostRefused = 5000ms;
 // From so many on the list as last had is believed to be the agent's up to its revision: a whole list for
@@ -62,8 +65,10 @@
     : io_(io),
       address_(settings.address),
       hold_(watch_limits(settings.fleet).hold),
-      start_spread_(
-          settings.fleet < kManyAsk ? 0ms : kStartGap * static_cast<AskPlan::Span::rep>(settings.fleet)),
+      start_spread_(settings.fleet < kManyAsk
+                        ? 0ms
+                        : std::min<AskPlan::Span>(
+                              kMostStartSpread, kStartGap * static_cast<AskPlan::Span::rep>(settings.fleet))),
       random_(settings.seed),
       known_(std::move(settings.known)),
       told_(std::move(told)),
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -17,6 +17,20 @@
     tell(first, list(1, false, {}));
     EXPECT_EQ(std::string(agent_request("/v1/servers").request.target()), "/v1/servers?from=1&hold_ms=10000");
 }
+// What the agent has counts as told, and new sends must have stopped 500 ms after a drain is: however many
+// start together, none may wait for longer with its first request.
+TEST_F(NodeTest, OneOfVeryManyAsksBeforeADrainWouldBind) {
+    node.config()["settings"]["n_instances"] = 300;
+    for (const char* seed : {"8c1f30d27a5be964", "1", "2", "3"}) {
+        node.config()["seed"] = seed;
+        node.start_ready();
+        const auto ready = Clock::now();
+        Exchange first = agent_request("/v1/servers");
+        EXPECT_LT(Clock::now() - ready, 450ms) << seed;
+        EXPECT_EQ(std::string(first.request.target()), "/v1/servers?from=1&hold_ms=10000");
+        node.kill(), node.wait();
+    }
+}
 TEST_F(NodeTest, OneOfFewAsksForTheWholeListAtOnce) {
     node.config()["settings"]["n_instances"] = 3;
     node.start();
