Operators' console, targets out by hand and drains, as fronts of one module

Design: src/operations holds what was ordered, without I/O or clock; store/orders_file keeps it (a new file in the place of the old one, under a lock that the kernel lets go of) before the yes; src/console (HTTP/1.1, Beast), the control socket and the commands (target offline|online, out-of-service, in-service, ready, status) are thin fronts. A ban is told to the module as a drain and asked again by the one send gate; put back, a target is told as cold (ListEntry::cold): sick until its first success, its budget as if all senders knew. A drain has three steps: PING says no at once, clients are served and let go within 1.5 s, then nothing is taken in and nobody rests.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -89,6 +89,8 @@
     std::size_t kind = 0;
     double rate = 0.0;  ///< agreed calls a second from all senders, where Settings::listed_rates
     Condition condition = Condition::Ready;
+    /// It was kept from work, and comes back as after an outage: told once, when it may serve again.
+    bool cold = false;
 };
 /// What the registry tells. Cached and Full replace the list; Changes amend it; Failed leaves it in force.
 struct ListEvent {
--- a/src/capture/words.hpp
+++ b/src/capture/words.hpp
@@ -32,7 +32,7 @@
 
 template <class Archive>
 void describe(Archive& a, ListEntry& e) {
-    a(e.endpoint)(e.destination)(e.zone)(e.kind)(e.rate)(e.condition);
+    a(e.endpoint)(e.destination)(e.zone)(e.kind)(e.rate)(e.condition)(e.cold);
 }
 template <class Archive>
 void describe(Archive& a, ListEvent& e) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -68,6 +68,8 @@
     config.listen = tcp_endpoint(field<std::string>(file, "listen"), "listen");
     if (file.contains("discovery") || !file.contains("known"))
         config.discovery = tcp_endpoint(field<std::string>(file, "discovery"), "discovery");
+    if (const auto console = value_or<std::string>(file, "console", ""); !console.empty())
+        config.console = tcp_endpoint(console, "console");
     config.state = value_or<std::string>(file, "state", "");
     config.seed = seed_of(field<std::string>(file, "seed"));
     read_limits(need(file, "limits"), config);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -27,6 +27,7 @@
     std::string name;
     Tcp::endpoint listen;
     std::optional<Tcp::endpoint> discovery;  ///< none: `known` is all that there is
+    std::optional<Tcp::endpoint> console;    ///< for operators alone; none: there is no console
     std::filesystem::path state;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;  ///< most descriptors of the process
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -94,6 +94,7 @@
         row.name = table.text("name", row.name);
         row.listen = address(table, "listen");
         row.discovery = address(table, "discovery");
+        row.console = address(table, "console");
         row.peer_listen = address(table, "peer_listen");
         row.peers_all = address(table, "peers_all");
         if (auto peers = table.words("peers")) row.peers = std::move(*peers);
--- a/src/config/operator_file.hpp
+++ b/src/config/operator_file.hpp
@@ -74,7 +74,7 @@
 struct InstanceRow {
     Place place;
     std::string name = "lockgw", state;
-    std::optional<Word> listen, discovery, peer_listen, peers_all;
+    std::optional<Word> listen, discovery, console, peer_listen, peers_all;
     std::vector<Word> peers;
     std::string seed, zone;
 };
--- a/src/config/stand_alone.cpp
+++ b/src/config/stand_alone.cpp
@@ -90,6 +90,7 @@
         node["known"] = {{"revision", 0}, {"complete", true}};
         node["known"]["members"] = static_members(file);  // not in the list above, which copies
     }
+    if (own.console) node["console"] = own.console->text;
     if (own.peer_listen) node["peer_listen"] = own.peer_listen->text;
     if (own.peers_all) node["peers_all"] = own.peers_all->text;
     for (const Word& peer : own.peers) node["peers"].push_back(peer.text);
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -19,18 +19,27 @@
 constexpr auto kDrainCheck = 100ms;
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
-constexpr std::size_t kOtherDescriptors = 32;  // of the process beside clients and targets
+constexpr auto kOrdersLook = 50ms;  // for orders that another process of the same folder was given
+constexpr std::size_t kConsoleDescriptors = 20;  // of the console, and of an order being written
+constexpr std::size_t kOtherDescriptors = 32;    // of the process beside clients and targets
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
+std::int64_t unix_ms() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(since).count();
+}
 Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
 
 /// As many as there are calls out, and some that rest between calls; never more than clients leave.
+std::size_t other_descriptors(const Config& config) {
+    return kOtherDescriptors + (config.console ? std::min(kConsoleDescriptors, config.sockets / 8) : 0);
+}
 std::size_t most_target_connections(const Config& config) {
     const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
-    return std::min(wanted, (config.sockets - kOtherDescriptors) / 2);
+    return std::min(wanted, (config.sockets - other_descriptors(config)) / 2);
 }
 std::size_t most_client_connections(const Config& config) {
-    return config.sockets - most_target_connections(config) - kOtherDescriptors;
+    return config.sockets - most_target_connections(config) - other_descriptors(config);
 }
 
 /// The module must not count on more calls than there are descriptors for.
@@ -54,7 +63,9 @@
 Forwarder::Forwarder(asio::io_context& io, Config config, const Protocols& protocols, routes::Table routes)
     : io_(io),
       config_(within_descriptors(std::move(config))),
-      journal_(config_.state, config_.disk_bytes, config_.settings.most_held),
+      journal_(
+          config_.state, config_.disk_bytes - orders_room(config_.disk_bytes), config_.settings.most_held),
+      orders_(config_.state, orders_room(config_.disk_bytes)),
       sender_(config_.settings, config_.seed),
       captures_(io, config_, sender_, directory_),
       routes_(std::move(routes)),
@@ -76,7 +87,8 @@
       front_(protocols.front(io, config_, most_client_connections(config_), *this)),
       timer_(io),
       drain_step_(io),
-      drain_end_(io) {}
+      drain_end_(io),
+      orders_step_(io) {}
 Forwarder::~Forwarder() = default;
 
 void Forwarder::start() {
@@ -85,7 +97,10 @@
     take_up();
     peers_.start();
     discovery_.start();
+    if (!orders_.now().in_service()) front_->serve(false);
     front_->listen();
+    listening_ = true;
+    if (config_.console) look_at_orders();
 }
 
 /// What an earlier process owed is owed still, with what it knew of each attempt.
@@ -122,7 +137,10 @@
     const TargetList& told = update.told;
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     if (told.complete) members_ = {};
-    for (const EndpointId endpoint : gone) delivery_->forget(endpoint);
+    for (const EndpointId endpoint : gone) {
+        if (const std::string* name = directory_.name_of(endpoint)) note_gone(*name);
+        delivery_->forget(endpoint);
+    }
     ListEvent event;
     event.kind = !told.complete              ? ListKind::Changes
                  : discovery_.view().whole() ? ListKind::Full
@@ -138,13 +156,18 @@
         entry.destination = target.destination;
         entry.rate = target.rate;
         entry.condition = target.condition;
-        if (target.condition == Condition::Ready) delivery_->set_address(*endpoint, target.address);
-        if (target.condition == Condition::Draining) delivery_->withdraw(*endpoint);
+        if (entry.condition == Condition::Ready && orders_.now().out(target.id))
+            entry.condition = Condition::Draining;  // by hand
+        if (entry.condition == Condition::Ready) {
+            delivery_->set_address(*endpoint, target.address);
+            entry.cold = told_cold(target);
+        }
+        if (entry.condition == Condition::Draining) delivery_->withdraw(*endpoint);
         event.entries.push_back(entry);
         if (target.condition == Condition::Gone)
             members_.erase(target.id);
         else
-            members_.put({target.id, target.destination, target.kind, target.zone, target.condition});
+            members_.put({target.id, target.destination, target.kind, target.zone, entry.condition});
     }
     for (const std::string& id : update.restarted)  // connections to the process before it are dead
         if (const auto endpoint = directory_.find(id)) delivery_->close_idle(*endpoint);
@@ -156,8 +179,9 @@
 /// the news of a drain or a told wait, and its connection may have taken long to come up.
 bool Forwarder::may_have(const Call& call, const Tcp::endpoint& address) const {
     const std::string* name = directory_.name_of(call.endpoint);
-    const auto gate =
-        name == nullptr ? View::Gate::Gone : discovery_.view().gate(*name, address, call.destination);
+    const auto gate = name == nullptr            ? View::Gate::Gone
+                      : orders_.now().out(*name) ? View::Gate::Draining
+                                                 : discovery_.view().gate(*name, address, call.destination);
     const bool waits = sender_.wait_until(call.endpoint) > now();
     if (gate == View::Gate::Open && !waits) return true;
     log::info("core", "not sent",
@@ -166,6 +190,69 @@
     return false;
 }
 
+// ---- operators' orders ----
+
+operations::Answer Forwarder::order(const operations::Order& order) {
+    using operations::Answer;
+    if (order.kind == operations::Order::Kind::Ready)
+        return listening_ && !draining_ ? Answer{} : Answer{Answer::Kind::NotReady, "it does not serve"};
+    const auto number = directory_.find(order.target);
+    const bool listed = number && discovery_.view().current(order.target).has_value();
+    const operations::Operations before = orders_.now();
+    Answer answer;
+    const bool kept = orders_.update([&](operations::Operations& state) {
+        for (const std::string& id : gone_) state.gone(id);
+        answer = state.give(order, listed, unix_ms());
+    });
+    if (kept) gone_.clear();
+    if (!kept) answer = {Answer::Kind::NotKept, "the order could not be written down"};
+    carry_out(before);
+    log::info("core", "ordered",
+        {{"what", text_of(order.kind)}, {"target", order.target}, {"answer", text_of(answer.kind)}});
+    return answer;
+}
+
+/// Another process of the same folder may have had an order.
+void Forwarder::look_at_orders() {
+    const operations::Operations before = orders_.now();
+    if (orders_.look()) carry_out(before);
+    keep_gone();
+    orders_step_.expires_after(kOrdersLook);
+    orders_step_.async_wait([this](auto cancelled) {
+        if (!cancelled) look_at_orders();
+    });
+}
+
+void Forwarder::carry_out(const operations::Operations& before) {
+    const auto moves = before.moves(orders_.now());
+    if (moves.service) front_->serve(orders_.now().in_service());
+    View::Update update;
+    for (const auto* ids : {&moves.out, &moves.back})
+        for (const std::string& id : *ids) {
+            if (ids == &moves.back) told_cold_.erase(id);
+            if (const auto target = discovery_.view().current(id)) update.told.targets.push_back(*target);
+        }
+    if (!update.told.targets.empty()) list(update);
+}
+
+/// Put back by hand, and not told to the module since.
+bool Forwarder::told_cold(const Target& target) {
+    return orders_.now().cold(target.id, unix_ms()) && told_cold_.insert(target.id).second;
+}
+
+/// An operator may still name it: kept a little later, for a list may say many at once.
+void Forwarder::note_gone(const std::string& id) {
+    if (!config_.console || orders_.now().known(id)) return;
+    if (gone_.size() < operations::kGoneMost) gone_.push_back(id);
+}
+void Forwarder::keep_gone() {
+    if (gone_.empty()) return;
+    const bool kept = orders_.update([this](operations::Operations& state) {
+        for (const std::string& id : gone_) state.gone(id);
+    });
+    if (kept) gone_.clear();
+}
+
 void Forwarder::hand_in(Message message, Time left, Done done) {
     const MessageId id = message.id;
     if (const auto twin = newcomers_.find(id); twin != newcomers_.end()) {
@@ -418,7 +505,8 @@
         destinations.push_back({{"number", number}, {"name", routes_.name_of(number)},
             {"held", held.contains(number) ? held.at(number) : 0}, {"endpoints", std::move(endpoints)}});
     }
-    return {{"name", config_.name}, {"draining", draining_}, {"held", journal_.unended()},
+    return {{"name", config_.name}, {"draining", draining_}, {"in_service", orders_.now().in_service()},
+        {"out_by_hand", orders_.now().all_out()}, {"held", journal_.unended()},
         {"unconfirmed_ends", journal_.entries().size() - journal_.unended()},
         {"calls_out", delivery_->calls()}, {"slots", config_.settings.slots},
         {"most_held", config_.settings.most_held}, {"longest_turn_ms", longest}, {"routes", routes_.size()},
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -13,8 +13,10 @@
 #include "membership/directory.hpp"
 #include "membership/discovery.hpp"
 #include "membership/peers.hpp"
+#include "operations/operations.hpp"
 #include "routes/table.hpp"
 #include "store/journal.hpp"
+#include "store/orders_file.hpp"
 
 namespace lockgw {
 
@@ -44,6 +46,8 @@
     const routes::Members& members() const { return members_; }
     /// "start", "stop" or "keep"; `told` is called with the next decision, at once where it is none of them.
     void capture(const std::string& what, Captures::Told told);
+    /// What an operator orders: it is written down before it is a yes, and holds from then on.
+    operations::Answer order(const operations::Order& order);
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void drain();
 
@@ -59,6 +63,11 @@
     RouteId route_of(const Message& message) const;
     const std::string& kind_of(std::int64_t destination) const;
     void list(const View::Update& update);
+    bool told_cold(const Target& target);
+    void note_gone(const std::string& id);
+    void keep_gone();
+    void look_at_orders();
+    void carry_out(const operations::Operations& before);
     bool may_have(const Call& call, const Tcp::endpoint& address) const;
     void hand_in(Message message, cometspoke::Time left, Done done) override;
     bool give_descriptor() override { return delivery_->close_one(); }
@@ -102,6 +111,9 @@
     asio::io_context& io_;
     const Config config_;
     Journal journal_;
+    OrdersFile orders_;
+    std::set<std::string> told_cold_;  // to the module, since they were put back
+    std::vector<std::string> gone_;    // to be kept with the orders
     cometspoke::Sender sender_;
     Directory directory_;
     Captures captures_;
@@ -111,8 +123,8 @@
     Discovery discovery_;
     Peers peers_;
     std::unique_ptr<Front> front_;
-    asio::steady_timer timer_, drain_step_, drain_end_;
-    bool turn_due_ = false, draining_ = false;
+    asio::steady_timer timer_, drain_step_, drain_end_, orders_step_;
+    bool turn_due_ = false, draining_ = false, listening_ = false;
     std::chrono::steady_clock::duration longest_turn_{};  // told at the end
     std::map<MessageId, Newcomer> newcomers_;             // handed in this turn, not answered yet
 };
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -57,6 +57,9 @@
     virtual void hand_on(const admission::HandOver& plan) = 0;
     /// No new connections; those there are close between requests.
     virtual void drain() = 0;
+    /// Out of service: PING says no at once; clients are served for a grace and then let go, and from then on
+    /// nothing is taken in. In service: as before. It goes on listening in both.
+    virtual void serve(bool in_service) = 0;
     /// Nobody is connected any more.
     virtual bool empty() const = 0;
     /// For people and programs: counters by name.
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -21,8 +21,10 @@
 constexpr auto kAcceptPause = 20ms;  // after a failed accept, such as one for want of descriptors
 constexpr auto kRoomPause = 5ms;     // until somebody's grace is over
 constexpr auto kSweep = 200ms;
-constexpr auto kSweepOn = 1ms;  // where one turn was not enough
-constexpr auto kTell = 5s;      // between log lines
+constexpr auto kSweepOn = 1ms;     // where one turn was not enough
+constexpr auto kTell = 5s;         // between log lines
+constexpr auto kLeaving = 1500ms;  // out of service: all clients are let go by then
+constexpr auto kOutWait = 1000ms;  // and who comes later is told to come again after this
 // In one turn of the loop: each costs some 50 us with what it has sent already, and a request waits for all
 // of them in each of the four turns that it takes.
 constexpr std::size_t kAccepts = 2;
@@ -219,6 +221,7 @@
         more = farewell.has_value();
         if (more) send_away(*farewell);
     }
+    if (service_ == Service::Out) let_go();  // who connects now is let go, too, unless it asks at once
     tell();
     sweep_.expires_after(more ? kSweepOn : kSweep);
     sweep_.async_wait([this](auto cancelled) {
@@ -262,6 +265,13 @@
 
 void Clients::handle(const Session& session, const resp::Command& command) {
     using boost::algorithm::iequals;
+    if (iequals(command[0], "PING") && service_ != Service::In)
+        return session->answer(resp::error("ERR out of service"), false);
+    if (service_ == Service::Out) {
+        if (!iequals(command[0], "ENQUEUE")) return session->turn_away(resp::error("ERR out of service"));
+        ++counters_.refused;
+        return session->turn_away(busy(kOutWait));
+    }
     if (iequals(command[0], "PING"))
         return session->answer(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"), false);
     if (!iequals(command[0], "ENQUEUE")) return session->answer(resp::error("ERR unknown command"), false);
@@ -350,7 +360,7 @@
     for (std::size_t i = 0; i < admission::kClasses; ++i)
         connections[admission::text_of(static_cast<Class>(i))] = door_.count(static_cast<Class>(i));
     return {{"front", "resp2"}, {"listen", address_text(config_.listen)}, {"connections", door_.count()},
-        {"by_class", connections}, {"accepted", counters_.accepted},
+        {"in_service", service_ == Service::In}, {"by_class", connections}, {"accepted", counters_.accepted},
         {"accept_failed", counters_.accept_failed}, {"handed_in", counters_.served},
         {"refused_after_a_wait", counters_.refused}, {"given_up_by_clients", counters_.gone},
         {"for_want_of_memory", counters_.too_much}, {"overloaded", overload_.overloaded()},
@@ -363,7 +373,33 @@
 
 // ---- the end ----
 
+/// Who has asked goes on being served for a while; the fronts have noticed by then.
+void Clients::serve(bool in_service) {
+    if (draining_ || in_service == (service_ == Service::In)) return;
+    service_ = in_service ? Service::In : Service::Leaving;
+    if (ending_) return;  // all are being let go already
+    hand_over_.reset();
+    hand_on_.cancel();
+    if (in_service) return;
+    admission::HandOverLimits limits = hand_over_limits(config_.door);
+    limits.end = std::min(limits.end, admission::Span(kLeaving));
+    limits.least = std::min(limits.least, limits.end);
+    hand_over_.emplace(limits, config_.settings.n_instances - 1);
+    hand_over_since_ = Clock::now();
+    hand_on_some();
+}
+/// The others have what was let go; what still comes is turned away.
+void Clients::let_go() {
+    service_ = Service::Out;
+    for (std::size_t left = door_.count(); left > 0; --left) {
+        const auto farewell = door_.hand_on();
+        if (!farewell) return;
+        send_away(*farewell);
+    }
+}
+
 void Clients::hand_on(const admission::HandOver& plan) {
+    ending_ = true;
     hand_over_ = plan;
     hand_over_since_ = Clock::now();
     hand_on_some();
@@ -374,7 +410,7 @@
     if (draining_) return;
     const auto passed = Clock::now() - hand_over_since_;
     const auto& limits = hand_over_->limits();
-    if (passed >= limits.end) return drain();
+    if (passed >= limits.end) return service_ == Service::Leaving && !ending_ ? let_go() : drain();
     const std::size_t resting = door_.count(Class::Silent) + door_.count(Class::Trial) +
                                 door_.count(Class::Probed) + door_.count(Class::Proved) +
                                 door_.count(Class::Regular);
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -46,6 +46,7 @@
     void listen() override;
     void hand_on(const admission::HandOver& plan) override;
     void drain() override;
+    void serve(bool in_service) override;
     bool empty() const override { return door_.count() == 0; }
     Json status() const override;
     const DoorCounters& counters() const { return counters_; }
@@ -74,6 +75,9 @@
     void read_in_turn(const Session& session);
     void read_turn();
     void hand_on_some();
+    void let_go();
+    /// No connection rests any more: each is closed between requests.
+    bool closing() const { return draining_ || service_ == Service::Out; }
     void tell();
 
     // requests
@@ -92,9 +96,11 @@
     admission::Overload overload_;
     admission::FairQueue<Request> waiting_;
     Tcp::acceptor acceptor_;
+    enum class Service { In, Leaving, Out };  // Leaving: PING says no, and messages are taken in
+    Service service_ = Service::In;
     asio::steady_timer pause_, sweep_, hand_on_;
     bool accepting_ = false, pausing_ = false, draining_ = false, making_room_ = false, working_ = false;
-    bool reading_in_turn_ = false;
+    bool reading_in_turn_ = false, ending_ = false;
     std::unordered_map<admission::Ticket, Session> sessions_;
     admission::MemoryShares memory_;  // of commands that have not ended, and of requests that wait
     admission::ReadTurns<Session> read_turns_;
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -119,7 +119,7 @@
         if (last_ || closed_) return;
     } else {
         count_buffered();
-        if (owner_.draining_ && !unread()) return close();
+        if (owner_.closing() && !unread()) return close();
     }
     await();
 } catch (const resp::Unreadable& bad) {
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -276,6 +276,14 @@
     return member.target.address == address ? Gate::Open : Gate::Moved;
 }
 
+std::optional<Target> View::current(const std::string& id) const {
+    const auto found = members_.find(id);
+    if (found == members_.end()) return std::nullopt;
+    Target target = found->second.target;
+    target.condition = found->second.effective();
+    return target;
+}
+
 std::optional<View::Time> View::told_at(const std::string& id) const {
     const auto found = members_.find(id);
     if (found == members_.end()) return std::nullopt;
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -81,6 +81,8 @@
     std::optional<Time> heard() const { return heard_; }
 
     Gate gate(const std::string& id, const Tcp::endpoint& address, std::int64_t destination) const;
+    /// A target as it is told to the core; none where it is not known.
+    std::optional<Target> current(const std::string& id) const;
     /// When the present condition of a target was told; none where it is not known.
     std::optional<Time> told_at(const std::string& id) const;
     std::size_t size() const { return members_.size(); }
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -161,6 +161,11 @@
             Route& route = apart(endpoint) ? endpoint.own : destination.shared;
             if (route.known == 0.0) route.known = entry.rate;
         }
+        if (entry.cold) {  // all senders know that it was out
+            endpoint.health = Health::Sick, endpoint.failure_seen = true;
+            endpoint.knowing = 1.0, endpoint.fell = kLongAgo;
+            fall_sick(endpoint, now);
+        }
         touch(entry.destination, now);
     }
     // How many endpoints name a destination: with none it may be forgotten.
--- a/src/program/ask.cpp
+++ b/src/program/ask.cpp
@@ -28,6 +28,10 @@
     };
     line("name", status.at("name"));
     line("file", status.at("file"));
+    line("in service", status.at("in_service").get<bool>() ? "yes" : "no, by order");
+    std::string out;
+    for (const Json& id : status.at("out_by_hand")) out += (out.empty() ? "" : ", ") + id.get<std::string>();
+    line("targets out by hand", out.empty() ? "none" : out);
     line("held", status.at("held").dump() + " of " + status.at("most_held").dump());
     line("calls out", status.at("calls_out").dump() + " of " + status.at("slots").dump());
     line("ends not confirmed", status.at("unconfirmed_ends"));
@@ -81,6 +85,11 @@
     });
 }
 
+int tell_order(const std::string& socket, const std::string& what, const std::string& target) {
+    return asked(socket, "order", [&](const Json&) { std::cout << what << ": yes\n"; },
+        {{"what", what}, {"target", target}});
+}
+
 int tell_capture(const std::string& socket, const std::string& what) {
     return asked(socket, "capture", [&what](const Json&) { std::cout << "capture: " << what << '\n'; },
         {{"do", what}});
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -55,5 +55,7 @@
 /// "start", "stop" or "keep".
 int tell_capture(const std::string& socket, const std::string& what);
 int reload_running(const std::string& socket);
+/// "ready", "offline", "online", "out-of-service" or "in-service"; `target`: of the second and third.
+int tell_order(const std::string& socket, const std::string& what, const std::string& target);
 
 }  // namespace lockgw::program
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -81,6 +81,7 @@
         if (!problems.empty()) return std::nullopt;
         config::apply_limits(loaded.file, loaded.config);
         if (!sources.state.empty()) loaded.config.state = sources.state;
+        if (!sources.console.empty()) loaded.config.console = tcp_endpoint(sources.console, "NODE_CONSOLE");
         loaded.config.sockets = within_own_limit(loaded.config.sockets);
         const cometspoke::Sender checked(loaded.config.settings, loaded.config.seed);
     } catch (const std::exception& bad) {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -27,6 +27,7 @@
     sources.node_config = environment("NODE_CONFIG");
     sources.operator_file = environment("LOCKGW_CONFIG");
     sources.state = environment("NODE_STATE");
+    sources.console = environment("NODE_CONSOLE");
     const auto common = [&sources](CLI::App* command) {
         command->add_option("--node-config", sources.node_config, "the platform's file (or NODE_CONFIG)");
         command->add_option("--members", sources.members, "a list of members in discovery's form")
@@ -58,7 +59,19 @@
     CLI::App* status = app.add_subcommand("status", "what the running process holds and whom it knows");
     status->add_flag("--json", json, "for programs");
     CLI::App* reload = app.add_subcommand("reload", "have the running process read its files anew");
-    for (CLI::App* command : {routes, status, reload}) {
+    CLI::App* target = app.add_subcommand("target", "take a target out, or put it back");
+    target->require_subcommand(1);
+    std::string target_id;
+    std::vector<CLI::App*> orders{app.add_subcommand("ready", "whether the running process serves"),
+        app.add_subcommand("out-of-service", "let its clients go, and take nothing new in"),
+        app.add_subcommand("in-service", "back to work"),
+        target->add_subcommand("offline", "nothing new goes to it, whatever discovery says"),
+        target->add_subcommand("online", "it may serve again")};
+    for (CLI::App* command : {orders[3], orders[4]})
+        command->add_option("ID", target_id, "as discovery lists it")->required();
+    std::vector<CLI::App*> asking{routes, status, reload};
+    asking.insert(asking.end(), orders.begin(), orders.end());
+    for (CLI::App* command : asking) {
         command->add_option("--socket", socket, "its control socket");
         command->add_option("--state", sources.state, "its folder that lasts (or NODE_STATE)");
     }
@@ -131,6 +144,8 @@
         return newer.empty() ? check_file(sources, json) : compare_files(sources, newer, json);
     if (socket.empty() && !sources.state.empty() && !run->parsed())
         socket = (std::filesystem::path(sources.state) / kSocketName).string();
+    for (const CLI::App* order : orders)
+        if (order->parsed()) return tell_order(socket, order->get_name(), target_id);
     for (const CLI::App* tell : tells)
         if (tell->parsed()) return tell_capture(socket, tell->get_name());
     if (status->parsed()) return print_status(socket, json);
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "background/worker.hpp"
+#include "console/server.hpp"
 #include "control/server.hpp"
 #include "core/forwarder.hpp"
 #include "deliveries/http/targets.hpp"
@@ -34,6 +35,13 @@
         }};
 }
 
+std::optional<operations::Order> order_of(const std::string& what, const std::string& target) {
+    using Kind = operations::Order::Kind;
+    for (const Kind kind : {Kind::Ready, Kind::Offline, Kind::Online, Kind::OutOfService, Kind::InService})
+        if (what == operations::text_of(kind)) return operations::Order{kind, target};
+    return std::nullopt;
+}
+
 /// Both files, read anew; throws with all problems, one line each.
 Loaded loaded(const Sources& sources, const Loaded* running) {
     config::Problems problems(sources.operator_file.empty() ? "NODE_CONFIG" : sources.operator_file);
@@ -58,6 +66,7 @@
           running_(std::make_shared<const Loaded>(loaded(sources, nullptr))),
           forwarder_(io_, running_->config, protocols(), running_->table),
           server_(io_, verbs_),
+          console_(io_, [this](const operations::Order& order) { return forwarder_.order(order); }),
           worker_(io_) {
         log::set(running_->config.log);
         verbs_.add("status", [this](const Json&) { return status(); });
@@ -73,6 +82,8 @@
         });
         verbs_.add_later(
             "reload", [this](const Json&, control::Promise promise) { reload(std::move(promise)); });
+        verbs_.add("order", [this](const Json& args) { return ordered(args); });
+        if (running_->config.console) console_.listen(*running_->config.console);
         if (!control.empty())
             server_.listen(control);
         else if (!sources.operator_file.empty())
@@ -130,6 +141,13 @@
         log::error("program", "the old configuration stays", {{"why", bad.what()}});
         return control::Refused("the old configuration stays", bad.what());
     }
+    Json ordered(const Json& args) {
+        const auto order = order_of(args.value("what", ""), args.value("target", ""));
+        if (!order) throw control::Refused("there is no such order");
+        const auto answer = forwarder_.order(*order);
+        if (!answer.yes()) throw control::Refused(answer.why);
+        return Json{{"done", args.value("what", "")}};
+    }
     Json status() const {
         Json all = forwarder_.status();
         all["reloads"] = reloads_;
@@ -146,6 +164,7 @@
     Forwarder forwarder_;
     control::Verbs verbs_;
     control::Server server_;
+    console::Server console_;
     Worker worker_;  // reads and checks files, while messages go on
     std::vector<control::Promise> asked_;
     bool loading_ = false;
--- a/tests/layers.cmake
+++ b/tests/layers.cmake
@@ -1,8 +1,8 @@
 cmake_minimum_required(VERSION 3.22)
 # Includes point downwards only: a package may include itself and those before it in this list.
 #   cmake -DSOURCE=src -P tests/layers.cmake
-set(order cometspoke base containers knowledge records policy logging background capture config routes admission membership store core
-    fronts deliveries control program)
+set(order cometspoke base containers knowledge records policy logging background capture config routes admission membership operations store core
+    fronts deliveries control console program)
 # Beside the way of a message: the adapter to the simulator stands on the settings alone.
 set(may_simulator cometspoke config simulator)
 set(below)
@@ -15,6 +15,8 @@
 set(may_policy cometspoke base containers knowledge records policy)
 set(may_deliveries ${may_core} deliveries)
 set(may_control cometspoke base logging background config control)
+set(may_operations operations)
+set(may_console base logging operations console)
 set(wrong)
 set(seen 0)
 file(GLOB_RECURSE files ${SOURCE}/*.cpp ${SOURCE}/*.hpp)
