--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -76,6 +76,7 @@
     Time settle_after_doubt{0};
     double fall_multiple = 1.0;
     double cold_from = 1.0;
+    bool paused = false;         ///< no attempt is begun
     bool notes = false;          ///< senders may tell one another
     std::size_t own_number = 0;  ///< among n_instances
 };
--- a/rig/node.cpp
+++ b/rig/node.cpp
@@ -99,23 +99,48 @@
 }
 Node::~Node() {
     if (pid_ > 0) kill(), wait();
+    if (listener_ >= 0) ::close(listener_);
 }
 
+void Node::hold_listener() {
+    listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (::bind(listener_, address_.data(), static_cast<socklen_t>(address_.size())) != 0 ||
+        ::listen(listener_, 512) != 0)
+        throw std::runtime_error("no listener");
+}
 void Node::start() {
-    const std::string path = config_path().string();
     write_config(config_.dump());
     std::filesystem::create_directories(state());
-    pid_ = fork();
-    if (pid_ != 0) return;
+    pid_ = launch({});
+}
+pid_t Node::start_beside(const std::map<std::string, std::string>& environment) {
+    return launch(environment);
+}
+
+pid_t Node::launch(const std::map<std::string, std::string>& more) {
+    constexpr int kListener = 7;
+    const std::string path = config_path().string();
+    const pid_t child = fork();
+    if (child != 0) return child;
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that crashes leaves nothing behind
     if (!alone_) {
         setenv("NODE_CONFIG", path.c_str(), 1);
         setenv("NODE_STATE", state().c_str(), 1);
     }
     for (const auto& [name, value] : environment_) setenv(name.c_str(), value.c_str(), 1);
+    for (const auto& [name, value] : more) setenv(name.c_str(), value.c_str(), 1);
     const int log = ::open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(log, 1), dup2(log, 2);
-    close_range(3, ~0u, 0);  // the test's own sockets
+    if (listener_ >= 0) {
+        setenv("NODE_LISTEN_FD", std::to_string(kListener).c_str(), 1);
+        const int copy = fcntl(listener_, F_DUPFD, 64);
+        dup2(copy, kListener);
+        close_range(3, kListener - 1, 0), close_range(kListener + 1, ~0u, 0);
+    } else {
+        close_range(3, ~0u, 0);  // the test's own sockets
+    }
     if (descriptors_ > 0) {
         const rlimit limit{descriptors_, descriptors_};
         setrlimit(RLIMIT_NOFILE, &limit);
--- a/rig/node.hpp
+++ b/rig/node.hpp
@@ -69,6 +69,13 @@
 
     void start();
     void start_ready();
+    /// From the next start on each process inherits a listening socket that this one holds, as descriptor 7.
+    void hold_listener();
+    int listener() const { return listener_; }
+    /// One more process beside the first, all else the same but for these names of its environment.
+    pid_t start_beside(const std::map<std::string, std::string>& environment);
+    /// It takes the place of the first, which the caller ends.
+    void follow(pid_t other) { pid_ = other; }
     void kill();
     void terminate();
     /// Puts another file in the place of the configuration and tells the program.
@@ -100,6 +107,7 @@
 private:
     std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
     void write_config(const std::string& text) const;
+    pid_t launch(const std::map<std::string, std::string>& more);
 
     TemporaryFolder folder_;
     nlohmann::json config_;
@@ -108,6 +116,7 @@
     std::size_t descriptors_ = 0;
     bool alone_ = false;
     std::map<std::string, std::string> environment_;
+    int listener_ = -1;
     pid_t pid_ = 0;
 };
 
--- a/src/capture/words.hpp
+++ b/src/capture/words.hpp
@@ -26,7 +26,7 @@
     a(s.classes)(s.tenants)(s.kinds)(s.zone)(s.zones)(s.n_instances)(s.slots)(s.most_held)(s.max_attempts);
     a(s.cancel)(s.must_subscribe)(s.listed_rates)(s.floor_per_s)(s.over_share_worth)(s.loses_worth);
     a(s.conn_idle)(s.fall)(s.warm_within)(s.settle_after_doubt)(s.fall_multiple)(s.cold_from);
-    a(s.notes)(s.own_number);
+    a(s.notes)(s.own_number)(s.paused);
 }
 
 // ---- events ----
--- a/src/console/server.cpp
+++ b/src/console/server.cpp
@@ -1,5 +1,7 @@
 #include "console/server.hpp"
 
+#include <fcntl.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -126,6 +128,22 @@
     accept();
 }
 
+int Server::release() {
+    if (!acceptor_.is_open()) return -1;
+    const int listening = fcntl(acceptor_.native_handle(), F_DUPFD_CLOEXEC, 0);
+    boost::system::error_code ignored;
+    pause_.cancel();
+    acceptor_.close(ignored);
+    return listening;
+}
+
+void Server::adopt(int listening) {
+    if (listening < 0) return;
+    acceptor_.assign(Tcp::v4(), listening);
+    acceptor_.non_blocking(true);
+    accept();
+}
+
 void Server::accept() {
     acceptor_.async_wait(Tcp::acceptor::wait_read, [this](auto failed) {
         if (failed == asio::error::operation_aborted) return;
--- a/src/console/server.hpp
+++ b/src/console/server.hpp
@@ -32,6 +32,11 @@
 
     /// Throws where the address cannot be had.
     void listen(const boost::asio::ip::tcp::endpoint& address);
+    /// The listening socket, for another Server of this process: who calls between the two waits in its
+    /// queue. Nothing is accepted here any more; -1 where it does not listen.
+    int release();
+    /// Of another Server that has released it.
+    void adopt(int listening);
     std::size_t connections() const { return open_.size(); }
 
 private:
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "base/condition.hpp"
+#include "capture/memory.hpp"
 #include "core/door_limits.hpp"
 #include "logging/log.hpp"
 
@@ -19,9 +22,11 @@
 constexpr auto kDrainCheck = 100ms;
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
+constexpr auto kHandoverLook = 25ms, kHandoverStep = 2ms;  // between looks; once another asks
 constexpr auto kOrdersLook = 50ms;  // for orders that another process of the same folder was given
-constexpr std::size_t kConsoleDescriptors = 20;  // of the console, and of an order being written
-constexpr std::size_t kOtherDescriptors = 32;    // of the process beside clients and targets
+constexpr std::size_t kSuccessorDescriptors = 24;  // of a process that is about to take over
+constexpr std::size_t kConsoleDescriptors = 20;    // of the console, and of an order being written
+constexpr std::size_t kOtherDescriptors = 32;      // of the process beside clients and targets
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
 std::int64_t unix_ms() {
@@ -32,7 +37,8 @@
 
 /// As many as there are calls out, and some that rest between calls; never more than clients leave.
 std::size_t other_descriptors(const Config& config) {
-    return kOtherDescriptors + (config.console ? std::min(kConsoleDescriptors, config.sockets / 8) : 0);
+    return kOtherDescriptors + (config.console ? std::min(kConsoleDescriptors, config.sockets / 8) : 0) +
+           (config.listen_fd ? std::min(kSuccessorDescriptors, config.sockets / 8) : 0);
 }
 std::size_t most_target_connections(const Config& config) {
     const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
@@ -54,6 +60,21 @@
     return names;
 }
 
+constexpr const char* kKnowledge = "known";  // in the folder that lasts
+
+/// Read once: it is of no use to a later process. Its list stands in for the one in the configuration.
+std::optional<handover::Known> known_before(Config& config) {
+    const auto path = config.state / kKnowledge;
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) return std::nullopt;
+    const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
+    std::error_code ignored;
+    std::filesystem::remove(path, ignored);
+    auto known = handover::known_of(bytes, now());
+    if (known && known->list.is_object()) config.known = known->list;
+    return known;
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -64,6 +85,7 @@
     : io_(io),
       config_(within_descriptors(std::move(config))),
       tenants_(config_.names.tenants),
+      known_(known_before(config_)),
       journal_(
           config_.state, config_.disk_bytes - orders_room(config_.disk_bytes), config_.settings.most_held),
       orders_(config_.state, orders_room(config_.disk_bytes)),
@@ -89,12 +111,14 @@
       timer_(io),
       drain_step_(io),
       drain_end_(io),
-      orders_step_(io) {}
+      orders_step_(io),
+      handover_step_(io) {}
 Forwarder::~Forwarder() = default;
 
 void Forwarder::start() {
     tell_routes();
     discovery_.take_known();
+    learn();
     take_up();
     peers_.start();
     discovery_.start();
@@ -232,6 +256,79 @@
     return false;
 }
 
+// ---- another process takes over ----
+
+void Forwarder::may_hand_over(std::function<bool()> wanted, std::function<void()> over) {
+    wanted_ = std::move(wanted);
+    over_ = std::move(over);
+    look_at_handover();
+}
+
+void Forwarder::look_at_handover() {
+    using Step = handover::Yielding::Step;
+    const bool calm = newcomers_.empty() && !turn_due_;  // everybody has been answered
+    const auto step = yielding_.step(
+        wanted_(), delivery_->calls(), !front_->empty() || !calm, std::chrono::steady_clock::now());
+    if (step != Step::None)
+        log::info("core", "handing over",
+            {{"step", text_of(step)}, {"calls_out", delivery_->calls()}, {"held", journal_.unended()}});
+    if (step == Step::StopCalls || step == Step::GoOn) pause(step == Step::StopCalls);
+    if (step == Step::LetGo) front_->drain();
+    if (step == Step::HandOver) {
+        journal_.keep_turn();
+        keep_gone();
+        write_knowledge();
+        return over_();
+    }
+    const bool busy = yielding_.state() != handover::Yielding::State::Serving;
+    handover_step_.expires_after(busy ? kHandoverStep : kHandoverLook);
+    handover_step_.async_wait([this](auto cancelled) {
+        if (!cancelled) look_at_handover();
+    });
+}
+
+/// Messages are still taken in, and those whose time is up still end.
+void Forwarder::pause(bool paused) {
+    config_.settings.paused = paused;
+    observe(SettingsEvent{config_.settings});
+}
+
+void Forwarder::write_knowledge() {
+    handover::Known known;
+    known.list = discovery_.list();
+    directory_.each([&](EndpointId number, const std::string& id) {
+        known.ids.emplace(id, number);
+        if (const Time until = sender_.wait_until(number); until > now()) known.waits.emplace(id, until);
+    });
+    known.memory = capture::memory_of(sender_);
+    const auto fresh = config_.state / (std::string(kKnowledge) + ".new");
+    std::error_code failed;
+    {
+        std::ofstream stream(fresh, std::ios::binary | std::ios::trunc);
+        const std::string bytes = handover::bytes_of(known, now());
+        stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+        if (!stream.flush()) return void(std::filesystem::remove(fresh, failed));
+    }
+    std::filesystem::rename(fresh, config_.state / kKnowledge, failed);
+}
+
+/// Before any message is taken up.
+void Forwarder::learn() {
+    if (!known_) return;
+    std::map<std::string, EndpointId> to;
+    directory_.each([&](EndpointId number, const std::string& id) { to.emplace(id, number); });
+    const std::size_t learned = handover::learn(sender_, *known_, to, config_.settings);
+    log::info("core", "taken over",
+        {{"targets_known", learned}, {"waits", known_->waits.size()}, {"messages", journal_.unended()}});
+    known_.reset();
+}
+
+std::set<std::string> Forwarder::listed() const {
+    std::set<std::string> ids;
+    directory_.each([&](EndpointId, const std::string& id) { ids.insert(id); });
+    return ids;
+}
+
 // ---- operators' orders ----
 
 operations::Answer Forwarder::order(const operations::Order& order) {
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -10,6 +10,8 @@
 #include "core/captures.hpp"
 #include "core/delivery.hpp"
 #include "core/front.hpp"
+#include "handover/knowledge.hpp"
+#include "handover/plan.hpp"
 #include "membership/directory.hpp"
 #include "membership/discovery.hpp"
 #include "membership/peers.hpp"
@@ -50,6 +52,11 @@
     void capture(const std::string& what, Captures::Told told);
     /// What an operator orders: it is written down before it is a yes, and holds from then on.
     operations::Answer order(const operations::Order& order);
+    /// Another process may take over whenever `wanted` says so: calls and clients are let go step by step,
+    /// and then `over` is called, with nothing written any more. What it knows stands in the folder then.
+    void may_hand_over(std::function<bool()> wanted, std::function<void()> over);
+    /// Ids that it has listed.
+    std::set<std::string> listed() const;
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void drain();
 
@@ -60,6 +67,10 @@
     };
 
     void take_up();
+    void look_at_handover();
+    void pause(bool paused);
+    void write_knowledge();
+    void learn();
     bool class_in_use(std::size_t number) const;
     std::optional<std::size_t> class_of(const Message& message);
     void share_terms();
@@ -117,10 +128,14 @@
     Config config_;                        // as taken over by reloads
     cometspoke::settings::Index tenants_;  // those dropped too, by the numbers that held messages may bear
     std::vector<std::shared_ptr<const ClassSettings>> terms_;  // of the classes, by their numbers
+    std::optional<handover::Known> known_;                     // of the process before
     Journal journal_;
     OrdersFile orders_;
     std::set<std::string> told_cold_;  // to the module, since they were put back
     std::vector<std::string> gone_;    // to be kept with the orders
+    handover::Yielding yielding_;
+    std::function<bool()> wanted_;
+    std::function<void()> over_;
     cometspoke::Sender sender_;
     Directory directory_;
     Captures captures_;
@@ -130,7 +145,7 @@
     Discovery discovery_;
     Peers peers_;
     std::unique_ptr<Front> front_;
-    asio::steady_timer timer_, drain_step_, drain_end_, orders_step_;
+    asio::steady_timer timer_, drain_step_, drain_end_, orders_step_, handover_step_;
     bool turn_due_ = false, draining_ = false, listening_ = false;
     std::chrono::steady_clock::duration longest_turn_{};  // told at the end
     std::map<MessageId, Newcomer> newcomers_;             // handed in this turn, not answered yet
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -74,7 +74,7 @@
       door_(door_limits(most_connections, config.door)),
       overload_(overload_limits(config.door)),
       waiting_(most_connections),
-      acceptor_(io),
+      listener_(io),
       pause_(io),
       sweep_(io),
       hand_on_(io),
@@ -85,11 +85,7 @@
 // ---- connections ----
 
 void Clients::listen() {
-    acceptor_.open(config_.listen.protocol());
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true));
-    acceptor_.bind(config_.listen);
-    acceptor_.listen();
-    acceptor_.non_blocking(true);
+    listener_.open(config_);
     accept();
     sweep();
 }
@@ -107,7 +103,7 @@
         return;
     }
     accepting_ = true;
-    acceptor_.async_wait(Tcp::acceptor::wait_read, [this](auto failed) {
+    listener_.wait([this](auto failed) {
         accepting_ = false;
         if (draining_ || failed) return;
         accept_waiting(kAccepts);
@@ -121,7 +117,7 @@
         if (door_.room() == 0) return;
         Tcp::endpoint from;
         boost::system::error_code failed;
-        Tcp::socket socket = acceptor_.accept(from, failed);
+        Tcp::socket socket = listener_.accept(from, failed);
         if (failed == asio::error::would_block) return;
         if (failed == asio::error::connection_aborted) continue;
         if (failed) return accept_failed(failed);
@@ -425,10 +421,10 @@
 /// Closing the listener resets connections that wait in its queue, with the requests written to them.
 void Clients::drain() {
     if (draining_) return;
-    accept_waiting(kLastAccepts);
+    if (!listener_.inherited())
+        accept_waiting(kLastAccepts);  // those of an inherited one wait for the next process
     draining_ = true;
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    listener_.close();
     pause_.cancel();
     for (std::size_t left = door_.count(); left > 0; --left) {
         const auto farewell = door_.hand_on();
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -23,6 +23,7 @@
 #include "admission/read_turns.hpp"
 #include "core/front.hpp"
 #include "fronts/resp2/enqueue.hpp"
+#include "fronts/resp2/listener.hpp"
 #include "fronts/resp2/resp.hpp"
 #include "fronts/resp2/session.hpp"
 
@@ -95,7 +96,7 @@
     admission::Door door_;
     admission::Overload overload_;
     admission::FairQueue<Request> waiting_;
-    Tcp::acceptor acceptor_;
+    Listener listener_;
     enum class Service { In, Leaving, Out };  // Leaving: PING says no, and messages are taken in
     Service service_ = Service::In;
     asio::steady_timer pause_, sweep_, hand_on_;
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -52,6 +52,8 @@
     void report(MessageId id, const Notice& notice);
 
     const View& view() const { return view_; }
+    /// The view in the form of take_known(), for another process; null where there is none.
+    Json list() const { return view_.list(); }
 
 private:
     void nobody_to_tell(MessageId id, const Notice& notice);
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -88,6 +88,13 @@
     return list;
 }
 
+Json json_of(const Target& target, Condition condition) {
+    return {{"id", target.id}, {"host_port", address_text(target.address)}, {"locality", target.zone},
+        {"flavor", target.kind}, {"cell", target.destination},
+        {"phase", condition == Condition::Ready ? "in_service" : "terminating"}, {"size", target.rate},
+        {"up_since_ms", target.up_since_ms}};
+}
+
 TargetList stops_in(std::string_view text) {
     TargetList list;
     text = text.substr(0, kMostListBytes);
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -54,6 +54,9 @@
     return std::clamp(memory_bytes / 24, kLeastListBytes, kMostListBytes);
 }
 
+/// An entry of such a list.
+Json json_of(const Target& target, cometspoke::Condition condition);
+
 /// Throws BadInput or a JSON error where it is no list.
 TargetList list_of(const Json& body);
 
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -130,7 +130,7 @@
         sick_calls_ = sick_calls();
         drop_stuck(now);
         keep_room(now);
-        while (calls_.size() < settings_.slots) {
+        while (calls_.size() < settings_.slots && !settings_.paused) {
             const std::optional<Pick> pick = choose(now);
             if (!pick) break;
             serve(*pick, now);
--- /dev/null
+++ b/src/program/bystander.cpp
@@ -0,0 +1,60 @@
+#include "program/bystander.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include "logging/log.hpp"
+#include "program/signals.hpp"
+
+namespace lockgw::program {
+namespace {
+
+constexpr std::chrono::milliseconds kLook{3};  // a lock that is let go of is to be taken at once
+
+}  // namespace
+
+Bystander::Bystander(handover::Place& place, handover::Waiting::Goal goal, Desk& desk, int console)
+    : signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      place_(place),
+      waiting_(goal, std::chrono::steady_clock::now()),
+      desk_(desk),
+      console_(io_, [this](const operations::Order& order) { return desk_.order(order); }),
+      step_(io_) {
+    console_.adopt(console);
+}
+
+Bystander::End Bystander::run() {
+    heed();
+    look();
+    let_signals_through();
+    while (!io_.stopped()) try {
+            io_.run();
+        } catch (const std::exception& fault) {
+            log::error("program", "a step failed", {{"why", fault.what()}});
+        }
+    hold_signals_back();
+    return end_;
+}
+
+/// Files are read when it takes over: SIGHUP has nothing to add.
+void Bystander::heed() {
+    signals_.async_wait([this](auto failed, int signal) {
+        if (failed) return;
+        if (signal == SIGHUP) return heed();
+        io_.stop();
+    });
+}
+
+void Bystander::look() {
+    const auto step = waiting_.step(place_, std::chrono::steady_clock::now());
+    if (step != handover::Waiting::Step::None) {
+        end_ = step == handover::Waiting::Step::Own ? End::Owns : End::Leave;
+        return io_.stop();
+    }
+    step_.expires_after(kLook);
+    step_.async_wait([this](auto cancelled) {
+        if (!cancelled) look();
+    });
+}
+
+}  // namespace lockgw::program
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -81,6 +81,12 @@
         if (!problems.empty()) return std::nullopt;
         config::apply_limits(loaded.file, loaded.config);
         if (!sources.state.empty()) loaded.config.state = sources.state;
+        if (!sources.listen_fd.empty()) {
+            if (sources.listen_fd.find_first_not_of("0123456789") != std::string::npos ||
+                sources.listen_fd.size() > 6)
+                throw std::runtime_error("NODE_LISTEN_FD is no descriptor: " + sources.listen_fd);
+            loaded.config.listen_fd = std::stoi(sources.listen_fd);
+        }
         if (!sources.console.empty()) loaded.config.console = tcp_endpoint(sources.console, "NODE_CONSOLE");
         loaded.config.sockets = within_own_limit(loaded.config.sockets);
         const cometspoke::Sender checked(loaded.config.settings, loaded.config.seed);
--- a/src/program/load.hpp
+++ b/src/program/load.hpp
@@ -20,6 +20,7 @@
     std::string state;          ///< the folder that lasts, where neither tells it
     std::string members;        ///< a list in discovery's form in place of the known one; empty: none
     bool only_checked = false;  ///< nothing is to run: the file's own rows stand for the list of its members
+    std::string listen_fd{};    ///< an inherited listening socket, by its number; empty: none
     std::string console{};      ///< the console's address, in the place of what either tells; empty: as told
 };
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -27,6 +27,7 @@
     sources.node_config = environment("NODE_CONFIG");
     sources.operator_file = environment("LOCKGW_CONFIG");
     sources.state = environment("NODE_STATE");
+    sources.listen_fd = environment("NODE_LISTEN_FD");
     sources.console = environment("NODE_CONSOLE");
     const auto common = [&sources](CLI::App* command) {
         command->add_option("--node-config", sources.node_config, "the platform's file (or NODE_CONFIG)");
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,181 +1,98 @@
-/// `lockgw run`: wiring and signals, nothing else.
-#include <pthread.h>
-
-#include <boost/asio/signal_set.hpp>
+/// `lockgw run`: who owns the folder, and when. Design: docs/handover.md.
 #include <csignal>
-#include <memory>
-#include <utility>
-#include <vector>
+#include <thread>
 
-#include "background/worker.hpp"
-#include "console/server.hpp"
-#include "control/server.hpp"
-#include "core/forwarder.hpp"
-#include "deliveries/http/targets.hpp"
-#include "fronts/resp2/clients.hpp"
 #include "logging/log.hpp"
+#include "program/bystander.hpp"
 #include "program/commands.hpp"
-#include "program/rows.hpp"
+#include "program/service.hpp"
+#include "program/signals.hpp"
 
 namespace lockgw::program {
 namespace {
 
+using handover::Waiting;
+
+// Without a listening socket that both can hold nobody can take over: another start is a mistake, or the one
+// before is about to end.
+constexpr std::chrono::milliseconds kEnding{2000}, kEndingStep{10};
+
 std::string plain(std::string what) {
     for (char& letter : what)
         if (letter == '\n') letter = ' ';
     return what;
 }
 
-Protocols protocols() {
-    return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
-                return std::make_unique<Clients>(io, config, most, intake);
-            },
-        [](auto& io, const Config& config, std::size_t most, Delivery::May may, Delivery::Done done) {
-            return std::make_unique<Targets>(io, config, most, std::move(may), std::move(done));
-        }};
+std::set<std::string> ids_of(const routes::Members& members) {
+    std::set<std::string> ids;
+    for (const auto& [destination, all] : members.all())
+        for (const auto& one : all) ids.insert(one.id);
+    return ids;
 }
 
-std::optional<operations::Order> order_of(const std::string& what, const std::string& target) {
-    using Kind = operations::Order::Kind;
-    for (const Kind kind : {Kind::Ready, Kind::Offline, Kind::Online, Kind::OutOfService, Kind::InService})
-        if (what == operations::text_of(kind)) return operations::Order{kind, target};
-    return std::nullopt;
+/// What stands in the files now; they may have changed while it waited. A bad one keeps what was good.
+std::shared_ptr<const Loaded> newest(const Sources& sources, std::shared_ptr<const Loaded> before) try {
+    return std::make_shared<const Loaded>(loaded(sources, before.get()));
+} catch (const std::exception& bad) {
+    log::error("program", "the configuration read before stays", {{"why", plain(bad.what())}});
+    return before;
 }
 
-/// Both files, read anew; throws with all problems, one line each.
-Loaded loaded(const Sources& sources, const Loaded* running) {
-    config::Problems problems(sources.operator_file.empty() ? "NODE_CONFIG" : sources.operator_file);
-    if (sources.node_config.empty() && sources.operator_file.empty())
-        throw std::runtime_error("NODE_CONFIG is not set, and there is no --config");
-    auto fresh = load(sources, problems);
-    if (fresh && fresh->config.state.empty())
-        throw std::runtime_error("NODE_STATE is not set, and there is no --state");
-    if (fresh && running != nullptr) check_running(*running, *fresh, problems);
-    if (problems.empty()) return std::move(*fresh);
-    std::string text = problems.text();
-    text.pop_back();
-    throw std::runtime_error(text);
+int listening_console(const Config& config) {
+    if (!config.console) return -1;
+    boost::asio::io_context io;
+    console::Server early(io, [](const operations::Order&) { return operations::Answer{}; });
+    early.listen(*config.console);
+    return early.release();
 }
 
-class Service {
-public:
-    Service(const Sources& sources, const std::string& control)
-        : sources_(sources),
-          // first: a SIGHUP during the start must not end the process either
-          signals_(io_, SIGTERM, SIGINT, SIGHUP),
-          running_(std::make_shared<const Loaded>(loaded(sources, nullptr))),
-          forwarder_(io_, running_->config, protocols(), running_->table),
-          server_(io_, verbs_),
-          console_(io_, [this](const operations::Order& order) { return forwarder_.order(order); }),
-          worker_(io_) {
-        log::set(running_->config.log);
-        verbs_.add("status", [this](const Json&) { return status(); });
-        verbs_.add("routes", [this](const Json&) {
-            return json_of(routes::rows_of(
-                {running_->file, forwarder_.routes(), running_->known, forwarder_.members()}));
-        });
-        verbs_.add_later("capture", [this](const Json& args, control::Promise promise) {
-            const std::string what = args.value("do", "");
-            forwarder_.capture(what, [promise = std::move(promise), what](const std::string& wrong) {
-                wrong.empty() ? promise(Json{{"done", what}}) : promise(control::Refused(wrong));
-            });
-        });
-        verbs_.add_later(
-            "reload", [this](const Json&, control::Promise promise) { reload(std::move(promise)); });
-        verbs_.add("order", [this](const Json& args) { return ordered(args); });
-        if (running_->config.console) console_.listen(*running_->config.console);
-        if (!control.empty())
-            server_.listen(control);
-        else if (!sources.operator_file.empty())
-            server_.listen(running_->config.state / kSocketName);
-    }
-
-    void run() {
-        heed();
-        forwarder_.start();
-        // A fault in one handler must not take what the others hold with it.
-        while (!io_.stopped()) try {
-                io_.run();
-            } catch (const std::exception& fault) {
-                log::error("program", "a step failed", {{"why", fault.what()}});
-            }
+void own_at_once(handover::Place& place) {
+    for (auto waited = kEndingStep; !place.try_owner(); waited += kEndingStep) {
+        if (waited > kEnding) throw std::runtime_error("another process serves from this folder");
+        std::this_thread::sleep_for(kEndingStep);
     }
+}
 
-private:
-    void heed() {
-        signals_.async_wait([this](auto failed, int signal) {
-            if (failed) return;
-            heed();
-            signal == SIGHUP ? reload({}) : forwarder_.drain();
-        });
-    }
-    /// Whoever asks while files are read and checked is told of the next reading, which begins after this
-    /// one: the files may have changed meanwhile.
-    void reload(control::Promise promise) {
-        asked_.push_back(std::move(promise));
-        if (!loading_) load_anew();
+/// One stretch after another: waiting for the one that owns, serving, standing by.
+void serve_in_turn(const Sources& sources, const std::string& control) {
+    auto config = std::make_shared<const Loaded>(loaded(sources, nullptr));
+    log::set(config->config.log);
+    handover::Place place(config->config.state);
+    int console = -1;
+    std::set<std::string> listed = ids_of(config->members);
+    const auto stand_by = [&](Waiting::Goal goal) {
+        Desk desk(config->config.state, config->config.disk_bytes, listed);
+        Bystander bystander(place, goal, desk, console);
+        const auto end = bystander.run();
+        console = bystander.release_console();
+        return end;
+    };
+    if (!config->config.listen_fd) {
+        own_at_once(place);
+    } else if (!place.try_owner()) {
+        log::info("program", "another process serves: it is asked to hand over");
+        console = listening_console(config->config);
+        if (stand_by(Waiting::Goal::TakeOver) == Bystander::End::Leave) return;
+        config = newest(sources, config);
     }
-    void load_anew() {
-        loading_ = true;
-        // the worker's one job: there is room
-        worker_.run([sources = sources_, running = running_] { return loaded(sources, running.get()); },
-            [this, told = std::exchange(asked_, {})](Worker::Came<Loaded> came) {
-                loading_ = false;
-                const control::Outcome outcome = taken_over(came);
-                for (const control::Promise& promise : told)
-                    if (promise) promise(outcome);
-                if (!asked_.empty()) load_anew();
-            });
+    while (true) {
+        Service::End end;
+        bool told_to_end;
+        {
+            Service service(sources, control, config, place, console);
+            end = service.run();
+            told_to_end = service.told_to_end();
+            console = service.release_console();
+            listed = service.listed();
+            config = service.running();
+        }
+        place.drop_owner();
+        if (end == Service::End::Ended || told_to_end) return;
+        log::info("program", "handed over");
+        if (stand_by(Waiting::Goal::Spare) == Bystander::End::Leave) return;
+        log::warn("program", "nobody else serves: it is taken back");
+        config = newest(sources, config);
     }
-    /// A bad file must not take a good process down: what it has stays in force, whole.
-    control::Outcome taken_over(Worker::Came<Loaded>& came) try {
-        auto fresh = std::make_shared<const Loaded>(came.take());
-        forwarder_.reload(fresh->config, fresh->table);
-        running_ = std::move(fresh);
-        log::set(running_->config.log);
-        ++reloads_;
-        log::info("program", "configuration read anew", {{"reloads", reloads_}});
-        return Json{{"reloads", reloads_}, {"routes", running_->file.routes.size()},
-            {"expectations", running_->file.expects.size()}};
-    } catch (const std::exception& bad) {
-        log::error("program", "the old configuration stays", {{"why", bad.what()}});
-        return control::Refused("the old configuration stays", bad.what());
-    }
-    Json ordered(const Json& args) {
-        const auto order = order_of(args.value("what", ""), args.value("target", ""));
-        if (!order) throw control::Refused("there is no such order");
-        const auto answer = forwarder_.order(*order);
-        if (!answer.yes()) throw control::Refused(answer.why);
-        return Json{{"done", args.value("what", "")}};
-    }
-    Json status() const {
-        Json all = forwarder_.status();
-        all["reloads"] = reloads_;
-        all["file"] = running_->file.path;
-        all["expectations"] = running_->file.expects.size();
-        all["control_connections"] = server_.connections();
-        return all;
-    }
-
-    const Sources sources_;
-    boost::asio::io_context io_{1};
-    boost::asio::signal_set signals_;
-    std::shared_ptr<const Loaded> running_;
-    Forwarder forwarder_;
-    control::Verbs verbs_;
-    control::Server server_;
-    console::Server console_;
-    Worker worker_;  // reads and checks files, while messages go on
-    std::vector<control::Promise> asked_;
-    bool loading_ = false;
-    std::size_t reloads_ = 0;
-};
-
-/// A signal that comes while all is being taken down must not turn a good end into a crash.
-void block_signals() {
-    sigset_t all;
-    sigfillset(&all);
-    pthread_sigmask(SIG_BLOCK, &all, nullptr);
 }
 
 }  // namespace
@@ -185,13 +102,12 @@
     log::start({});
     int code = kWell;
     try {
-        Service service(sources, control);
-        service.run();
-        block_signals();
+        serve_in_turn(sources, control);
     } catch (const std::exception& bad) {
         log::error("program", "cannot start", {{"why", plain(bad.what())}});
         code = kWrong;
     }
+    hold_signals_back();
     log::stop();
     return code;
 }
