The console answers and keeps orders also where no descriptor is left

Need: the issue's hard case, 64 silent callers while clients crowd the door and no descriptor is left; its test failed. Seen: answers empty, then 507 'not kept'. At fault: console/server.cpp, accept_waiting(): accept() says that there is no descriptor also where nobody waits, and a caller that had just come was closed for it; store/orders_file.cpp: the one descriptor set aside went to the lock, and none was left for the file. Change: the queue is looked at before anybody is closed; the lock is opened at the start. Result: the test passes; it fails without either.

--- a/src/console/server.cpp
+++ b/src/console/server.cpp
@@ -1,6 +1,7 @@
 #include "console/server.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <array>
@@ -153,6 +154,9 @@
 
 void Server::accept_waiting() {
     for (int i = 0; i < kAccepts; ++i) {
+        // with no descriptor left accept() fails also where nobody waits: nobody must be closed for that
+        pollfd entry{acceptor_.native_handle(), POLLIN, 0};
+        if (poll(&entry, 1, 0) <= 0) break;
         if (open_.size() >= kPlaces) {
             const auto silent =
                 std::find_if(open_.begin(), open_.end(), [](const auto& one) { return !one->answered(); });
--- a/src/store/orders_file.cpp
+++ b/src/store/orders_file.cpp
@@ -34,9 +34,14 @@
 
 OrdersFile::OrdersFile(std::filesystem::path folder, std::size_t room)
     : folder_(std::move(folder)), path_(folder_ / "orders"), most_(room / 2) {
+    open_lock();  // now, while there are descriptors
     read();
 }
 
+void OrdersFile::open_lock() {
+    lock_ = Descriptor(::open((folder_ / "orders.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kOwnerOnly));
+}
+
 OrdersFile::Stamp OrdersFile::stamp() const {
     struct stat found {};
     if (::stat(path_.c_str(), &found) != 0) return {};
@@ -67,15 +72,8 @@
 }
 
 bool OrdersFile::update(const std::function<void(operations::Operations&)>& change) {
-    if (lock_.get() < 0) {
-        const auto open = [this] {
-            return Descriptor(
-                ::open((folder_ / "orders.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kOwnerOnly));
-        };
-        lock_ = open();
-        if (lock_.get() < 0 && spare_.give_back()) lock_ = open();
-        if (lock_.get() < 0) return false;
-    }
+    if (lock_.get() < 0) open_lock();
+    if (lock_.get() < 0) return false;
     bool locked = false;
     for (int i = 0; i < kLockTries && !locked; ++i) {
         if (i > 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
--- a/src/store/orders_file.hpp
+++ b/src/store/orders_file.hpp
@@ -42,6 +42,7 @@
         bool operator==(const Stamp&) const = default;
     };
     Stamp stamp() const;
+    void open_lock();
     void read();
     bool write(const operations::Operations& fresh);
 
--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -2,6 +2,8 @@
 #include <sys/resource.h>
 #include <sys/stat.h>
 
+#include <boost/asio/read.hpp>
+
 #include "membership_fixture.hpp"
 
 namespace lockgw {
@@ -96,5 +98,31 @@
     EXPECT_EQ(waiting.line(), "+OK") << node.log();
 }
 
+// Sixty-four callers of the console that send nothing, clients that crowd the door, and not one descriptor
+// left: operators are heard all the same, and their order is kept.
+TEST_F(DescriptorsTest, OperatorsAreHeardWithNoneLeft) {
+    asio::io_context io;
+    const auto console = Tcp::acceptor(io, {node.address().address(), 0}).local_endpoint();
+    node.config()["console"] = text_of(console);
+    start_with({member("s-1", 0), member("s-2", 1)});
+    std::list<Tcp::socket> callers;
+    const auto silent_caller = [&] { callers.emplace_back(io).connect(console); };
+    for (int i = 0; i < 8; ++i) silent_caller();
+    leave_none();
+    for (int i = 0; i < 56; ++i) silent_caller();
+    for (const char* order : {"targets/s-1/offline", "out-of-service", "in-service", "targets/s-2/offline"}) {
+        Tcp::socket socket(io);
+        socket.connect(console);
+        asio::write(
+            socket, asio::buffer(std::string("PUT /control/") + order + " HTTP/1.1\r\nHost: x\r\n\r\n"));
+        std::string answer;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer), ended);
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << order << '\n' << node.log();
+    }
+    std::ifstream kept(node.state() / "orders");
+    EXPECT_EQ(Json::parse(kept)["out"], (Json{"s-1", "s-2"}));
+}
+
 }  // namespace
 }  // namespace lockgw
