Share tags step by the square of slot time: worth for each second of a slot

Ruled out: upgrades (held 10 at the one of 6.3 s; 0 at the door), bans (0 left unused), limits (tags past due), outages (health 0 there). Change: w by what a call brings for the time of its slot, and by that time: the ratio squared, between a fiftieth and twenty times. The way not taken: strictly the quickest first, which leaves a slow partner with nothing for as long as the backlog lasts.

--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -17,7 +17,8 @@
 
 namespace cometspoke::policy {
 
-constexpr double kSigma = 1.0;      // idle credit in sends: the design's default
+constexpr double kSigma = 1.0;                           // idle credit in sends: the design's default
+constexpr double kLeastQuick = 0.02, kMostQuick = 20.0;  // bounds of what slot time makes of a weight
 constexpr double kCapShare = 0.75;  // calls to one destination stay under this share of the slots
 constexpr double kSickShare = 0.5;  // and at most this while it fails or is slow; also all sick ones together
 
@@ -125,8 +126,7 @@
         return kToldPart + left * (tells() ? kFreeShared : kFreeSlope) + much;
     }
     double capacity(const Route& route, const Destination& destination) const {
-        if (route.known > 0) return route.known;
-        return std::max(kLeastCapacity, destination.served_rate * senders());
+        return route.known > 0 ? route.known : std::max(kLeastCapacity, destination.served_rate * senders());
     }
     bool tells() const { return settings_.notes && settings_.n_instances >= kNotesFrom; }
     void retag(Route& route, const Destination& destination) const {
@@ -137,9 +137,11 @@
         const double known = destination.usual > 0 ? destination.usual : overall_usual_;
         return std::max(known > 0 ? known : seconds(kFirstUsual), seconds(kLeastUsual));
     }
-    // w by the slot time of a call: the few of a slow partner must not hold the slots of many quick ones.
+    // w by what a call brings for the time of its slot, and by that time: the slow must not hold up the
+    // quick.
     double slot_weight(const Destination& one) const {
-        return one.weight * std::clamp(overall_usual_ > 0 ? overall_usual_ / usual(one) : 1.0, 0.05, 20.0);
+        const double quick = overall_usual_ > 0 ? overall_usual_ / usual(one) : 1.0;
+        return one.weight * std::clamp(quick * quick, kLeastQuick, kMostQuick);
     }
     // A fixed span is meant for answers in a tenth of a second or more; where all answer sooner it shrinks.
     Time paced(Time span, double times) const {
--- a/src/policy/tags.hpp
+++ b/src/policy/tags.hpp
@@ -62,9 +62,7 @@
         const double slots = static_cast<double>(settings_.slots);
         return destination.in_flight == 0 || destination.in_flight + 1 < kCapShare * slots;
     }
-    bool sick_may_go(const Destination& destination) const {
-        return sick_order_may_go(destination.in_flight == 0);
-    }
+    bool sick_may_go(const Destination& one) const { return sick_order_may_go(one.in_flight == 0); }
     // One trial each while slots are left: after a stall of all, stuck calls must not keep them unheard.
     bool sick_order_may_go(bool idle) const {
         const double slots = static_cast<double>(settings_.slots);
--- a/tests/reference/logic_before.cpp
+++ b/tests/reference/logic_before.cpp
@@ -650,7 +650,8 @@
     }
     double senders() const { return static_cast<double>(settings_.n_instances); }
     double slot_weight(const Destination& one) const {
-        return one.weight * std::clamp(overall_usual_ > 0 ? overall_usual_ / usual(one) : 1.0, 0.05, 20.0);
+        const double quick = overall_usual_ > 0 ? overall_usual_ / usual(one) : 1.0;
+        return one.weight * std::clamp(quick * quick, 0.02, 20.0);
     }
     double usual(const Destination& destination) const {
         const double known = destination.usual > 0 ? destination.usual : overall_usual_;
