--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -60,7 +60,7 @@
 
 View::Update View::known(const TargetList& list, Time now, bool amend) {
     if (whole_) return {};
-    if (amend && list.complete && list.revision > 0 && !list.targets.empty() && list.bad.empty()) {
+    if (amend && list.complete && !list.targets.empty() && list.bad.empty()) {
         revision_ = list.revision;
         whole_needed_ = false;
     }
@@ -288,7 +288,8 @@
     if (members_.empty()) return nullptr;
     Json members = Json::array();
     for (const auto& [id, member] : members_) members.push_back(json_of(member.target, member.effective()));
-    return {{"revision", revision_.value_or(0)}, {"complete", true}, {"members", std::move(members)}};
+    return {{"revision", revision_.value_or(0)}, {"complete", revision_.has_value()},
+        {"members", std::move(members)}};
 }
 
 std::optional<View::Time> View::told_at(const std::string& id) const {
--- a/src/membership/view.hpp
+++ b/src/membership/view.hpp
@@ -87,8 +87,8 @@
     Gate gate(const std::string& id, const Tcp::endpoint& address, std::int64_t destination) const;
     /// A target as it is told to the core; none where it is not known.
     std::optional<Target> current(const std::string& id) const;
-    /// The view in discovery's form, with revision 0 where its agent has told none; null where
-    /// it is empty.
+    /// The view in discovery's form, complete where its agent has told a revision: one that has not cannot be
+    /// amended. Null where it is empty.
     nlohmann::json list() const;
     /// When the present condition of a target was told; none where it is not known.
     std::optional<Time> told_at(const std::string& id) const;
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -62,6 +62,22 @@
     View::Time now{1000s};
 };
 
+// Revision 0 is one like others: where a hundred asked for the whole list because of it, an agent was
+// overloaded.
+TEST_F(ViewTest, AKnownListAtRevisionZeroIsAmendedToo) {
+    view.known({0, true, {target("s-1", 81)}}, now, true);
+    EXPECT_EQ(view.ask_from(), 0);
+    EXPECT_EQ(view.list()["revision"], 0);
+    EXPECT_EQ(view.list()["complete"], true);
+    view.new_agent();
+    EXPECT_EQ(view.list()["complete"], false)
+        << "of an agent before: not to be amended by whoever takes over";
+    View next({"a"}, {"shop"});
+    next.known(list_of(view.list()), now, true);
+    EXPECT_EQ(next.ask_from(), std::nullopt);
+    EXPECT_EQ(next.size(), 1u);
+}
+
 // In a large fleet the list as last had is amended from its revision: it need not be told whole again.
 TEST_F(ViewTest, AmendsTheKnownListFromItsRevisionWhereTold) {
     view.known({41, true, {target("s-1", 81), target("s-2", 82)}}, now, true);
