The forwarder's part that changes under it in a file of its own; one write_all

Change: orders, hand-over and reload in forwarder_changes.cpp, clocks and the sharing out of descriptors in files of their own, write_all in base. Nothing else.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -33,6 +33,11 @@
     return text;
 }
 
+std::set<std::string> names_in(const Index& index) {
+    std::set<std::string> names;
+    for (const auto& [name, place] : index) names.insert(name);
+    return names;
+}
 std::size_t index_of(const Index& index, const std::string& name, const char* what) {
     const auto found = index.find(name);
     if (found == index.end()) throw BadInput(std::string("unknown ") + what + " " + name);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -46,6 +46,7 @@
 struct Names {
     Index classes, tenants, zones, kinds;
 };
+std::set<std::string> names_in(const Index& index);
 std::size_t index_of(const Index& index, const std::string& name, const char* what);
 Names names_of(const Json& params);
 Settings settings_of(const Json& params, const Names& names);
--- /dev/null
+++ b/src/core/descriptors.cpp
@@ -0,0 +1,33 @@
+#include "core/descriptors.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lockgw {
+namespace {
+
+constexpr std::size_t kSuccessorDescriptors = 24;  // of a process that is about to take over
+constexpr std::size_t kConsoleDescriptors = 20;    // of the console, and of an order being written
+constexpr std::size_t kOtherDescriptors = 32;      // of the process beside clients and targets
+
+std::size_t other_descriptors(const Config& config) {
+    return kOtherDescriptors + (config.console ? std::min(kConsoleDescriptors, config.sockets / 8) : 0) +
+           (config.listen_fd ? std::min(kSuccessorDescriptors, config.sockets / 8) : 0);
+}
+
+}  // namespace
+
+std::size_t most_target_connections(const Config& config) {
+    const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
+    return std::min(wanted, (config.sockets - other_descriptors(config)) / 2);
+}
+std::size_t most_client_connections(const Config& config) {
+    return config.sockets - most_target_connections(config) - other_descriptors(config);
+}
+
+Config within_descriptors(Config config) {
+    config.settings.slots = std::min(config.settings.slots, most_target_connections(config));
+    return config;
+}
+
+}  // namespace lockgw
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -7,7 +7,8 @@
 #include <utility>
 
 #include "base/condition.hpp"
-#include "capture/memory.hpp"
+#include "core/clocks.hpp"
+#include "core/descriptors.hpp"
 #include "core/door_limits.hpp"
 #include "logging/log.hpp"
 
@@ -22,45 +23,6 @@
 constexpr auto kDrainCheck = 100ms;
 constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
-constexpr auto kHandoverLook = 25ms, kHandoverStep = 2ms;  // between looks; once another asks
-constexpr auto kOrdersLook = 50ms;  // for orders that another process of the same folder was given
-constexpr std::size_t kSuccessorDescriptors = 24;  // of a process that is about to take over
-constexpr std::size_t kConsoleDescriptors = 20;    // of the console, and of an order being written
-constexpr std::size_t kOtherDescriptors = 32;      // of the process beside clients and targets
-
-Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
-std::int64_t unix_ms() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(since).count();
-}
-Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
-
-/// As many as there are calls out, and some that rest between calls; never more than clients leave.
-std::size_t other_descriptors(const Config& config) {
-    return kOtherDescriptors + (config.console ? std::min(kConsoleDescriptors, config.sockets / 8) : 0) +
-           (config.listen_fd ? std::min(kSuccessorDescriptors, config.sockets / 8) : 0);
-}
-std::size_t most_target_connections(const Config& config) {
-    const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
-    return std::min(wanted, (config.sockets - other_descriptors(config)) / 2);
-}
-std::size_t most_client_connections(const Config& config) {
-    return config.sockets - most_target_connections(config) - other_descriptors(config);
-}
-
-/// The module must not count on more calls than there are descriptors for.
-Config within_descriptors(Config config) {
-    config.settings.slots = std::min(config.settings.slots, most_target_connections(config));
-    return config;
-}
-
-std::set<std::string> names_in(const cometspoke::settings::Index& index) {
-    std::set<std::string> names;
-    for (const auto& [name, place] : index) names.insert(name);
-    return names;
-}
-
-constexpr const char* kKnowledge = "known";  // in the folder that lasts
 
 /// Read once: it is of no use to a later process. Its list stands in for the one in the configuration.
 std::optional<handover::Known> known_before(Config& config) {
@@ -70,7 +32,7 @@
     const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
     std::error_code ignored;
     std::filesystem::remove(path, ignored);
-    auto known = handover::known_of(bytes, now());
+    auto known = handover::known_of(bytes, steady_now());
     if (known && known->list.is_object()) config.known = known->list;
     return known;
 }
@@ -98,8 +60,9 @@
           [this](const OutcomeEvent& event) { outcome(event); })),
       discovery_(
           io,
-          {config_.discovery, config_.known, names_in(config_.names.zones), names_in(config_.names.kinds),
-              config_.settings.n_instances, config_.seed, list_bytes_for(config_.memory_bytes)},
+          {config_.discovery, config_.known, cometspoke::settings::names_in(config_.names.zones),
+              cometspoke::settings::names_in(config_.names.kinds), config_.settings.n_instances, config_.seed,
+              list_bytes_for(config_.memory_bytes)},
           [this](const View::Update& update) { list(update); },
           [this](MessageId id) {
               open_turn();
@@ -248,7 +211,7 @@
     const auto gate = name == nullptr            ? View::Gate::Gone
                       : orders_.now().out(*name) ? View::Gate::Draining
                                                  : discovery_.view().gate(*name, address, call.destination);
-    const bool waits = sender_.wait_until(call.endpoint) > now();
+    const bool waits = sender_.wait_until(call.endpoint) > steady_now();
     if (gate == View::Gate::Open && !waits) return true;
     log::info("core", "not sent",
         {{"message", cometspoke::settings::id_text(call.message)}, {"target", name == nullptr ? "?" : *name},
@@ -256,142 +219,6 @@
     return false;
 }
 
-// ---- another process takes over ----
-
-void Forwarder::may_hand_over(std::function<bool()> wanted, std::function<void()> over) {
-    wanted_ = std::move(wanted);
-    over_ = std::move(over);
-    look_at_handover();
-}
-
-void Forwarder::look_at_handover() {
-    using Step = handover::Yielding::Step;
-    const bool calm = newcomers_.empty() && !turn_due_;  // everybody has been answered
-    const auto step = yielding_.step(
-        wanted_(), delivery_->calls(), !front_->empty() || !calm, std::chrono::steady_clock::now());
-    if (step != Step::None)
-        log::info("core", "handing over",
-            {{"step", text_of(step)}, {"calls_out", delivery_->calls()}, {"held", journal_.unended()}});
-    if (step == Step::StopCalls || step == Step::GoOn) pause(step == Step::StopCalls);
-    if (step == Step::LetGo) front_->drain();
-    if (step == Step::HandOver) {
-        journal_.keep_turn();
-        keep_gone();
-        write_knowledge();
-        return over_();
-    }
-    const bool busy = yielding_.state() != handover::Yielding::State::Serving;
-    handover_step_.expires_after(busy ? kHandoverStep : kHandoverLook);
-    handover_step_.async_wait([this](auto cancelled) {
-        if (!cancelled) look_at_handover();
-    });
-}
-
-/// Messages are still taken in, and those whose time is up still end.
-void Forwarder::pause(bool paused) {
-    config_.settings.paused = paused;
-    observe(SettingsEvent{config_.settings});
-}
-
-void Forwarder::write_knowledge() {
-    handover::Known known;
-    known.list = discovery_.list();
-    directory_.each([&](EndpointId number, const std::string& id) {
-        known.ids.emplace(id, number);
-        if (const Time until = sender_.wait_until(number); until > now()) known.waits.emplace(id, until);
-    });
-    known.memory = capture::memory_of(sender_);
-    const auto fresh = config_.state / (std::string(kKnowledge) + ".new");
-    std::error_code failed;
-    {
-        std::ofstream stream(fresh, std::ios::binary | std::ios::trunc);
-        const std::string bytes = handover::bytes_of(known, now());
-        stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-        if (!stream.flush()) return void(std::filesystem::remove(fresh, failed));
-    }
-    std::filesystem::rename(fresh, config_.state / kKnowledge, failed);
-}
-
-/// Before any message is taken up.
-void Forwarder::learn() {
-    if (!known_) return;
-    std::map<std::string, EndpointId> to;
-    directory_.each([&](EndpointId number, const std::string& id) { to.emplace(id, number); });
-    const std::size_t learned = handover::learn(sender_, *known_, to, config_.settings);
-    log::info("core", "taken over",
-        {{"targets_known", learned}, {"waits", known_->waits.size()}, {"messages", journal_.unended()}});
-    known_.reset();
-}
-
-std::set<std::string> Forwarder::listed() const {
-    std::set<std::string> ids;
-    directory_.each([&](EndpointId, const std::string& id) { ids.insert(id); });
-    return ids;
-}
-
-// ---- operators' orders ----
-
-operations::Answer Forwarder::order(const operations::Order& order) {
-    using operations::Answer;
-    if (order.kind == operations::Order::Kind::Ready)
-        return listening_ && !draining_ ? Answer{} : Answer{Answer::Kind::NotReady, "it does not serve"};
-    const auto number = directory_.find(order.target);
-    const bool listed = number && discovery_.view().current(order.target).has_value();
-    const operations::Operations before = orders_.now();
-    Answer answer;
-    const bool kept = orders_.update([&](operations::Operations& state) {
-        for (const std::string& id : gone_) state.gone(id);
-        answer = state.give(order, listed, unix_ms());
-    });
-    if (kept) gone_.clear();
-    if (!kept) answer = {Answer::Kind::NotKept, "the order could not be written down"};
-    carry_out(before);
-    log::info("core", "ordered",
-        {{"what", text_of(order.kind)}, {"target", order.target}, {"answer", text_of(answer.kind)}});
-    return answer;
-}
-
-/// Another process of the same folder may have had an order.
-void Forwarder::look_at_orders() {
-    const operations::Operations before = orders_.now();
-    if (orders_.look()) carry_out(before);
-    keep_gone();
-    orders_step_.expires_after(kOrdersLook);
-    orders_step_.async_wait([this](auto cancelled) {
-        if (!cancelled) look_at_orders();
-    });
-}
-
-void Forwarder::carry_out(const operations::Operations& before) {
-    const auto moves = before.moves(orders_.now());
-    if (moves.service) front_->serve(orders_.now().in_service());
-    View::Update update;
-    for (const auto* ids : {&moves.out, &moves.back})
-        for (const std::string& id : *ids) {
-            if (ids == &moves.back) told_cold_.erase(id);
-            if (const auto target = discovery_.view().current(id)) update.told.targets.push_back(*target);
-        }
-    if (!update.told.targets.empty()) list(update);
-}
-
-/// Put back by hand, and not told to the module since.
-bool Forwarder::told_cold(const Target& target) {
-    return orders_.now().cold(target.id, unix_ms()) && told_cold_.insert(target.id).second;
-}
-
-/// An operator may still name it: kept a little later, for a list may say many at once.
-void Forwarder::note_gone(const std::string& id) {
-    if (!config_.console || orders_.now().known(id)) return;
-    if (gone_.size() < operations::kGoneMost) gone_.push_back(id);
-}
-void Forwarder::keep_gone() {
-    if (gone_.empty()) return;
-    const bool kept = orders_.update([this](operations::Operations& state) {
-        for (const std::string& id : gone_) state.gone(id);
-    });
-    if (kept) gone_.clear();
-}
-
 void Forwarder::hand_in(Message message, Time left, Done done) {
     const MessageId id = message.id;
     if (const auto twin = newcomers_.find(id); twin != newcomers_.end()) {
@@ -454,7 +281,7 @@
 }
 /// The one place where the module is told anything.
 void Forwarder::tell_module(const Event& event) {
-    const Time at = now();
+    const Time at = steady_now();
     sender_.observe(event, at);
     captures_.observed(event, at);
 }
@@ -472,7 +299,7 @@
 /// First everything that was decided is in the journal, by one write; then it is done.
 void Forwarder::decide_and_act() {
     turn_due_ = false;
-    const Time at = now();
+    const Time at = steady_now();
     const std::vector<Action> actions = sender_.decide(at);
     captures_.decided(at, actions);
     auto replies = take_on(actions);
@@ -596,25 +423,6 @@
     discovery_.report(id, notice);
 }
 
-void Forwarder::reload(const Config& fresh, routes::Table routes) {
-    using namespace cometspoke::settings;
-    const Config bounded = within_descriptors(fresh);
-    InForce next = taken_over({config_.names, config_.settings, tenants_},
-        {bounded.names, bounded.settings, {}}, [this](std::size_t number) { return class_in_use(number); });
-    const Sender checked(next.settings, fresh.seed);  // it knows best which settings make no sense
-    config_.names = std::move(next.names);
-    config_.settings = std::move(next.settings);
-    tenants_ = std::move(next.numbered_tenants);
-    config_.connect_timeout = fresh.connect_timeout;
-    config_.reports = fresh.reports;
-    share_terms();
-    observe(SettingsEvent{config_.settings});
-    discovery_.names(names_in(config_.names.zones), names_in(config_.names.kinds));
-    discovery_.move_to(fresh.discovery);
-    routes_ = std::move(routes);
-    reroute_held();
-}
-
 /// The module knows endpoints by their numbers.
 void Forwarder::tell_routes() {
     if (routes_.size() == 0) return;
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -31,6 +31,9 @@
 using cometspoke::ClassSettings;
 using cometspoke::RouteId;
 
+/// In the folder that lasts: what one process knew, for the one that takes over.
+constexpr const char* kKnowledge = "known";
+
 class Forwarder final : Intake {
 public:
     /// Takes up what the journal holds. Throws where the folder or an address cannot be used.
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -13,6 +13,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/write_all.hpp"
+
 namespace lockgw {
 namespace {
 
@@ -198,16 +200,6 @@
     return checksum(bytes) == head[1] ? std::optional(bytes) : std::nullopt;
 }
 
-bool write_all(int fd, std::string_view bytes) {
-    while (!bytes.empty()) {
-        const ssize_t wrote = ::write(fd, bytes.data(), bytes.size());
-        if (wrote < 0 && errno == EINTR) continue;
-        if (wrote <= 0) return false;
-        bytes.remove_prefix(static_cast<std::size_t>(wrote));
-    }
-    return true;
-}
-
 }  // namespace
 
 Descriptor::Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
--- a/src/store/orders_file.cpp
+++ b/src/store/orders_file.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/write_all.hpp"
 #include "logging/log.hpp"
 
 namespace lockgw {
@@ -20,16 +21,6 @@
 constexpr int kLockTries = 100;  // of 1 ms: another holds it for a write of some kilobytes
 constexpr mode_t kOwnerOnly = 0600;
 
-bool write_whole(int fd, std::string_view bytes) {
-    while (!bytes.empty()) {
-        const ssize_t wrote = ::write(fd, bytes.data(), bytes.size());
-        if (wrote < 0 && errno == EINTR) continue;
-        if (wrote <= 0) return false;
-        bytes.remove_prefix(static_cast<std::size_t>(wrote));
-    }
-    return true;
-}
-
 }  // namespace
 
 OrdersFile::OrdersFile(std::filesystem::path folder, std::size_t room)
@@ -100,7 +91,7 @@
     Descriptor file = open();
     if (file.get() < 0 && out_of_descriptors(errno) && spare_.give_back()) file = open();
     std::error_code failed;
-    bool kept = file.get() >= 0 && write_whole(file.get(), text);
+    bool kept = file.get() >= 0 && write_all(file.get(), text);
     if (kept) {
         std::filesystem::rename(next, path_, failed);
         kept = !failed;
