--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -182,6 +182,57 @@
     EXPECT_EQ(hand_in(back, 100002), "+OK");
 }
 
+// Its connection is still being made when the only target of a destination is taken out: nothing is written
+// to it, and the message goes once it is put back.
+TEST_F(DailyTest, OfflineWhileAConnectionIsMade) {
+    start_with({member("s-1", 0)});
+    targets.freeze(0, 900ms);
+    std::this_thread::sleep_for(100ms);  // until its queue is full, and connections do not come up
+    Client client = node.client();
+    ASSERT_EQ(hand_in(client, 1), "+OK");
+    std::this_thread::sleep_for(100ms);
+    EXPECT_EQ(order("targets/s-1/offline"), 200);
+    std::this_thread::sleep_for(2500ms);  // past the time at which the kernel tries the connection again
+    EXPECT_EQ(calls_at(0), 0u) << node.log();
+    EXPECT_EQ(order("targets/s-1/online"), 200);
+    EXPECT_TRUE(targets.wait_calls(1, kDeadline));
+}
+
+// Told to wait, out and back: the wait is not shortened by it.
+TEST_F(DailyTest, OfflineAndBackDuringAToldWait) {
+    start_with({member("s-1", 0)});
+    rig::CallScript refuse;
+    refuse.status = 429, refuse.headers = "Retry-After: 2\r\n";
+    targets.next(0, refuse);
+    Client client = node.client();
+    ASSERT_EQ(hand_in(client, 1), "+OK");
+    ASSERT_TRUE(targets.wait_calls(1, kDeadline));
+    std::this_thread::sleep_for(50ms);
+    const auto told = Clock::now();
+    EXPECT_EQ(order("targets/s-1/offline"), 200);
+    EXPECT_EQ(order("targets/s-1/online"), 200);
+    ASSERT_EQ(hand_in(client, 2), "+OK");
+    ASSERT_TRUE(targets.wait_calls(2, kDeadline));
+    EXPECT_GT(targets.calls()[1].first_byte - told, 1800ms);
+}
+
+// Clients that never read their answers are let go too.
+TEST_F(DailyTest, ADrainBesideClientsThatNeverRead) {
+    start_with({member("s-1", 0)});
+    const std::size_t before = node.descriptors();
+    std::deque<Client> deaf;
+    for (int i = 0; i < 5; ++i) {
+        deaf.emplace_back(node.address());
+        for (int k = 0; k < 20; ++k) deaf.back().send(rig::command({"PING", std::string(2000, 'x')}));
+    }
+    EXPECT_EQ(order("out-of-service"), 200);
+    const auto from = Clock::now();
+    while (node.descriptors() > before + 1 && Clock::now() < from + kDeadline)
+        std::this_thread::sleep_for(20ms);
+    EXPECT_LT(Clock::now() - from, 4s);
+    EXPECT_TRUE(node.client().ask({"PING"}).starts_with("-"));
+}
+
 TEST_F(DailyTest, ADrainOutlastsTheProcessAndASilentClientIsLetGo) {
     start_with({member("s-1", 0)});
     EXPECT_EQ(order("out-of-service"), 200);
