One guarded run loop for the process that owns and the one beside it

Need: service.cpp and bystander.cpp repeated the loop that keeps a fault in one handler from taking the others with it. Change: run_guarded() in program/signals.hpp. Behaviour as before.

--- a/src/program/bystander.cpp
+++ b/src/program/bystander.cpp
@@ -27,11 +27,7 @@
     heed();
     look();
     let_signals_through();
-    while (!io_.stopped()) try {
-            io_.run();
-        } catch (const std::exception& fault) {
-            log::error("program", "a step failed", {{"why", fault.what()}});
-        }
+    run_guarded(io_);
     hold_signals_back();
     return end_;
 }
--- a/src/program/service.cpp
+++ b/src/program/service.cpp
@@ -91,12 +91,7 @@
             });
     place_.drop_next();
     let_signals_through();
-    // A fault in one handler must not take what the others hold with it.
-    while (!io_.stopped()) try {
-            io_.run();
-        } catch (const std::exception& fault) {
-            log::error("program", "a step failed", {{"why", fault.what()}});
-        }
+    run_guarded(io_);
     hold_signals_back();
     return handed_over_ ? End::HandedOver : End::Ended;
 }
--- a/src/program/signals.hpp
+++ b/src/program/signals.hpp
@@ -1,9 +1,14 @@
-/// Between two loops of one process nobody heeds signals: they are held back meanwhile, and come after it.
+/// The loops of one process, one after another. Between two of them nobody heeds signals: they are held back
+/// meanwhile, and come after it.
 #pragma once
 
 #include <pthread.h>
 
+#include <boost/asio/io_context.hpp>
 #include <csignal>
+#include <exception>
+
+#include "logging/log.hpp"
 
 namespace lockgw::program {
 
@@ -18,4 +23,13 @@
     pthread_sigmask(SIG_UNBLOCK, &all, nullptr);
 }
 
+/// Until it is stopped. A fault in one handler must not take what the others hold with it.
+inline void run_guarded(boost::asio::io_context& io) {
+    while (!io.stopped()) try {
+            io.run();
+        } catch (const std::exception& fault) {
+            log::error("program", "a step failed", {{"why", fault.what()}});
+        }
+}
+
 }  // namespace lockgw::program
