A keyed resend is written inside its window of repeats, or not at all

Cause: a resend is chosen inside the window (resend_until, Messages), but Forwarder::may_have, which is asked before the first byte, knows nothing of it, and TargetConnection::start waits for a connect up to its own time-out: what was chosen at 3.9 s could be written at 4.9 s and later. Change: Send and Call carry begin_by, the end of the window less its margin. Connecting ends then, nothing is written after it, and a write that is not through by then is broken off. A write whose end the loop has not told counts as one that may have run (it could count as never run where both time-outs fell together).

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -190,6 +190,9 @@
     MessageId message = 0;
     EndpointId endpoint = 0;
     Time time_out{0};
+    /// Its last byte must be written by then, or none of it: a repeat that begins later may take effect
+    /// again.
+    Time begin_by{Time::max()};
 };
 struct CancelAttempt {
     MessageId message = 0;
--- a/src/core/delivery.hpp
+++ b/src/core/delivery.hpp
@@ -22,6 +22,8 @@
     std::int64_t destination = 0;
     std::string key, body;
     cometspoke::Time time_out{0};
+    /// Of the steady clock. A call of which not all is written by then ends, and the target must not take it.
+    cometspoke::Time begin_by{cometspoke::Time::max()};
 };
 
 class Delivery {
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -393,7 +393,7 @@
     }
     const Message& message = journal_.find(send.message)->message;
     delivery_->start({send.message, send.endpoint, recorded.attempt, message.destination, message.key,
-        message.body, send.time_out});
+        message.body, send.time_out, send.begin_by});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel, const Recorded&) {
     delivery_->cancel(cancel.message, cancel.attempt);
--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -34,6 +34,13 @@
     return std::max<Time>(kLeastWait, kWaitDeadlines * longest);
 }
 
+/// Of a call: when the last of it must be written.
+Clock::time_point begin_by(const Call& call) {
+    if (call.begin_by >= std::chrono::duration_cast<Time>(Clock::duration::max()))
+        return Clock::time_point::max();
+    return Clock::time_point(call.begin_by);
+}
+
 }  // namespace
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
@@ -62,7 +69,9 @@
             socket_.cancel();  // the watch over an idle connection
             return write();
         }
-        wait_until(begun_ + std::min<Clock::duration>(call_->time_out, owner_.config_.connect_timeout));
+        const auto connected_by =
+            begun_ + std::min<Clock::duration>(call_->time_out, owner_.config_.connect_timeout);
+        wait_until(std::min(connected_by, begin_by(*call_)));
         // for want of descriptors here nothing is learned of the target
         if (!open()) return not_sent();
         socket_.async_connect(address_, guarded([this](auto failed) {
@@ -107,7 +116,12 @@
     }
     void expire() {
         if (!call_) return owner_.gone(shared_from_this());
-        end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
+        if (written_) return end(answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
+        // its last byte may have gone out although nobody has said so yet
+        if (begun_writing_) return end(Outcome::NoAnswer);
+        // that a repeat's window closed meanwhile tells nothing of the target
+        const bool too_late = Clock::now() >= begin_by(*call_);
+        end(too_late ? Outcome::NotSent : Outcome::NoConnection);
     }
 
     bool open() {
@@ -119,10 +133,10 @@
         return !failed;
     }
     void write() {
-        if (!owner_.may_(*call_, address_)) return not_sent();
+        if (Clock::now() >= begin_by(*call_) || !owner_.may_(*call_, address_)) return not_sent();
         begun_writing_ = true;
         const auto left = begun_ + call_->time_out - Clock::now();
-        wait_until(begun_ + call_->time_out);
+        wait_until(std::min(begun_ + call_->time_out, begin_by(*call_)));
         request_ = {http::verb::post, "/v1/messages", 11};
         request_.set(http::field::host, owner_.config_.name);
         request_.set("X-Call-Id", cometspoke::settings::id_text(call_->message));
@@ -134,6 +148,7 @@
         http::async_write(socket_, request_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
             written_ = true;
+            wait_until(begun_ + call_->time_out);
             read();
         }));
     }
--- a/src/policy/messages.hpp
+++ b/src/policy/messages.hpp
@@ -97,7 +97,7 @@
     }
     Time resend_until(const Message& message) const {
         const ClassSettings& kind = settings_.classes[message.message_class];
-        if (kind.effect == Effect::Retryable) return kNever;
+        if (kind.effect == Effect::Retryable || !message.doubt_since) return kNever;
         if (kind.effect == Effect::Fragile) return kLongAgo;
         return *message.doubt_since + kind.window - kDedupMargin;
     }
@@ -110,8 +110,7 @@
     Time ends_at(const Message& message) const {
         if (message.out > 0) return message.deadline;
         if (message.attempts >= terms(message).max_attempts) return kLongAgo;
-        if (message.doubt_since) return std::min(message.deadline, resend_until(message));
-        return message.deadline;
+        return std::min(message.deadline, resend_until(message));
     }
     bool may_refuse(const Message& message) const {
         if (message.out == 0 && !message.doubt_since) return true;
--- a/src/policy/turns.hpp
+++ b/src/policy/turns.hpp
@@ -88,7 +88,7 @@
         ++calls_.at(call_id).out;
         if (message.key) ++keys_[*message.key].out, line_changed(*message.key, now);
         changed(id, now);
-        actions_.emplace_back(Send{id, to, time_out(message, now)});
+        actions_.emplace_back(Send{id, to, time_out(message, now), resend_until(message)});
     }
     // Where a call may carry several messages, the next ones in order travel along.
     void fill_call(Destination& destination, EndpointId to, std::uint64_t call_id, Time now) {
@@ -146,7 +146,7 @@
     bool ready(MessageId id, const Message& message, Time now) const {
         if (message.out > 0 || message.not_before > now || message.deadline <= now) return false;
         if (message.attempts >= terms(message).max_attempts) return false;
-        if (message.doubt_since && now > resend_until(message)) return false;
+        if (now > resend_until(message)) return false;
         return !message.key || turn_at(id, *message.key) <= now;
     }
     std::vector<EndpointId> open_endpoints(const Destination& destination, Time now, bool limited) {
