--- a/src/config/stand_alone.cpp
+++ b/src/config/stand_alone.cpp
@@ -86,9 +86,10 @@
         {"settings", settings_of(file)}, {"state", own.state}};
     if (own.discovery) {
         node["discovery"] = own.discovery->text;
-    } else if (with_members) {
+    } else {
         node["known"] = {{"revision", 0}, {"complete", true}};
-        node["known"]["members"] = static_members(file);  // not in the list above, which copies
+        if (with_members)
+            node["known"]["members"] = static_members(file);  // not in the list above, which copies
     }
     if (own.console) node["console"] = own.console->text;
     if (own.peer_listen) node["peer_listen"] = own.peer_listen->text;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -38,6 +38,19 @@
     return before;
 }
 
+/// The platform gives the folder. Without it there is nobody else to make it; its own parent must be there,
+/// for a disk that is not mounted must not be hidden by a folder on another.
+void make_folder(const Sources& sources, const std::filesystem::path& folder) {
+    if (!sources.node_config.empty() || std::filesystem::is_directory(folder)) return;
+    std::error_code failed;
+    std::filesystem::create_directory(folder, failed);
+    if (failed)
+        throw std::runtime_error(
+            "the folder that lasts cannot be made: " + folder.string() + ": " + failed.message());
+    std::filesystem::permissions(folder, std::filesystem::perms::owner_all, failed);  // messages stand in it
+    log::info("program", "made the folder that lasts", {{"folder", folder.string()}});
+}
+
 int listening_console(const Config& config) {
     if (!config.console) return -1;
     boost::asio::io_context io;
@@ -57,6 +70,7 @@
 void serve_in_turn(const Sources& sources, const std::string& control) {
     auto config = std::make_shared<const Loaded>(loaded(sources, nullptr));
     log::set(config->config.log);
+    make_folder(sources, config->config.state);
     handover::Place place(config->config.state);
     int console = -1;
     std::set<std::string> listed = ids_of(config->members);
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -10,6 +10,7 @@
 #include "control/client.hpp"
 #include "control/protocol.hpp"
 #include "membership_fixture.hpp"
+#include "program/load.hpp"
 
 namespace lockgw {
 namespace {
@@ -304,6 +305,50 @@
     }));
 }
 
+// The README's first commands on the shipped example: `check` has no list of members to go by, and `run` has
+// no platform that made its folder.
+TEST_F(OperatorTest, TheExampleIsCheckedAndRunsWithoutAFolder) {
+    config::Problems problems(EXAMPLE_FILE);
+    for (const bool only_checked : {true, false}) {
+        const auto loaded = program::load({EXAMPLE_FILE, "", "", "", only_checked}, problems);
+        EXPECT_TRUE(loaded) << problems.text();
+        EXPECT_FALSE(!loaded || loaded->members.empty());
+    }
+    std::ifstream stream(EXAMPLE_FILE);
+    std::string text{std::istreambuf_iterator<char>(stream), {}};
+    const auto put = [&](const std::string& before, const std::string& after) {
+        const auto at = text.find(before);
+        ASSERT_NE(at, std::string::npos) << before;
+        text.replace(at, before.size(), after);
+    };
+    put("127.0.0.1:7379", rig::text_of(node.address()));
+    put("state = \"lockgw-state\"", "state = \"" + (node.folder() / "made").string() + '"');
+    for (const std::size_t i : {0u, 1u, 2u}) put("127.0.0.1:740" + std::to_string(i + 1), targets.address(i));
+    with_file(text);
+    node.alone();
+    node.start_ready();
+    struct stat folder {};
+    ASSERT_EQ(::stat((node.folder() / "made").c_str(), &folder), 0) << node.log();
+    EXPECT_EQ(folder.st_mode & 0777, 0700u);
+    Client client = node.client();
+    EXPECT_EQ(client.ask({"ENQUEUE", "0", fresh_id(), "c=order-submit,t=shop-supply,d=9000,k=1,dest=3", "B"}),
+        "+OK");
+    EXPECT_TRUE(targets.wait_calls(1, kDeadline)) << node.log();
+}
+
+// A folder whose own place is missing is not made: a disk may not be mounted.
+TEST_F(OperatorTest, AFolderWithoutAPlaceEndsTheStart) {
+    with_file("[instance]\nname = \"n\"\nlisten = \"" + rig::text_of(node.address()) + "\"\nstate = \"" +
+              (node.folder() / "missing" / "made").string() +
+              "\"\n[[class]]\nname = \"c\"\neffect = \"retryable\"\naim_ms = 1\ndeadline_ms = 2\n" +
+              "[[destination]]\nname = \"lab\"\nnumber = 7\n[[destination.endpoint]]\nname = \"a\"\n"
+              "address = \"127.0.0.1:9\"\n");
+    node.alone();
+    node.start();
+    EXPECT_NE(node.wait(), 0);
+    EXPECT_TRUE(node.logs("folder that lasts cannot be made")) << node.log();
+}
+
 TEST(ControlProtocol, AnswersEveryLineInItsForm) {
     control::Verbs verbs;
     verbs.add("echo", [](const control::Json& args) { return args; });
