A rig for whole tiers: real processes, targets with limits, links and faults by scenario

Need: evenness, return and membership are only seen with many processes at once, and faults between them. Table, CSV, JSON, SVG.

--- /dev/null
+++ b/rig/tier/scenario.hpp
@@ -0,0 +1,64 @@
+/// What a tier is put through: sizes, traffic, limits, and faults by time. TOML, strict, errors at their
+/// place (docs/tier-rig.md has every key).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/problems.hpp"
+
+namespace lockgw::rig::tier {
+
+/// Numbers of forwarders or targets, from `first` to `last`.
+struct Range {
+    std::size_t first = 0, last = 0;
+};
+
+struct Fault {
+    enum class What {
+        Kill,    ///< SIGKILL, and a start with its folder after `for_s`
+        Forget,  ///< the same without its folder
+        Stop,    ///< SIGSTOP for `for_s`
+        Notes,   ///< of what is sent to or by them: `value` is the share that is lost
+        Late,    ///< notes come `value` seconds late
+        Spoil,   ///< a share `value` of notes has a byte changed
+        Double,  ///< a share `value` of notes comes twice
+        Cut,     ///< they neither hear nor are heard by the other forwarders
+        Slow,    ///< targets take `value` times as long
+        Errors,  ///< targets answer 500 at once
+        Hang,    ///< targets take calls and answer none
+        Refuse,  ///< targets refuse connections
+        Limit,   ///< the limit is `value` times what it was
+        Leave,   ///< targets drain and go; back after `for_s` as new ones
+        Link     ///< the link between forwarder `who` and target `value` is silent
+    };
+    What what = What::Kill;
+    double at_s = 0, for_s = 0, value = 0;  ///< for_s 0: to the end
+    Range who;
+};
+
+struct Scenario {
+    std::string name = "tier";
+    std::uint64_t seed = 1;
+    double seconds = 15, warm_s = 3;  ///< of traffic in all; the first are not judged
+    std::size_t forwarders = 10, targets = 5;
+    double rate = 2.0;        ///< messages a second at each forwarder
+    double heavy = 1.0;       ///< how many times the others' the rate of a tenth of them is
+    double service_ms = 15;   ///< of a call
+    std::size_t at_once = 0;  ///< calls that a target serves at a time; 0: any number
+    std::size_t queue = 64;   ///< that wait there
+    double limit = 0;         ///< calls a second: of each target where `apart`, of all together else; 0: none
+    bool apart = false;
+    bool refused_count = true;         ///< refused calls use the limit up
+    std::size_t most_connections = 0;  ///< at a target; 0: any number
+    bool notes = true, discovery = true;
+    bool numbered = true;  ///< forwarders are told their numbers; else all believe to be the first
+    std::vector<Fault> faults;
+};
+
+/// Where anything is wrong, problems are added and the result is of no use.
+Scenario read_scenario(const std::string& text, config::Problems& problems);
+
+}  // namespace lockgw::rig::tier
--- /dev/null
+++ b/rig/tier/tier.cpp
@@ -0,0 +1,289 @@
+#include "rig/tier/tier.hpp"
+
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <cmath>
+#include <csignal>
+#include <future>
+#include <map>
+#include <random>
+#include <thread>
+
+#include "rig/node.hpp"
+#include "rig/tier/agents.hpp"
+#include "rig/tier/clients.hpp"
+#include "rig/tier/partner.hpp"
+#include "rig/tier/relay.hpp"
+
+namespace lockgw::rig::tier {
+
+using namespace std::chrono_literals;
+using What = Fault::What;
+
+namespace {
+
+constexpr double kInTime_s = 1.5;
+constexpr auto kAfter = 5500ms;  // the last messages' time, and a little
+
+class Tier {
+public:
+    Tier(const Scenario& scenario, const std::string& program)
+        : scenario_(scenario),
+          notes_(io_, scenario.forwarders, scenario.seed),
+          partner_(io_, scenario, [this](const std::string& id) { clients_->delivered(id); }),
+          agents_(io_, scenario.forwarders, [this](std::size_t one) { return members(one); }),
+          gone_(scenario.targets),
+          age_(scenario.targets) {
+        for (const Fault& fault : scenario.faults)  // relays stand only where a fault wants them
+            if (fault.what == What::Link)
+                for (std::size_t i = fault.who.first; i <= fault.who.last; ++i) {
+                    const auto target = static_cast<std::size_t>(fault.value);
+                    auto& relay = relays_[{i, target}];
+                    if (!relay) relay = std::make_unique<TcpRelay>(io_, partner_.address(target));
+                }
+        std::vector<Tcp::endpoint> addresses;
+        for (std::size_t i = 0; i < scenario.forwarders; ++i) {
+            nodes_.push_back(std::make_unique<Node>(config(i), program));
+            addresses.push_back(nodes_.back()->address());
+        }
+        clients_ = std::make_unique<Clients>(io_, scenario_, std::move(addresses));
+        thread_ = std::thread([this] {
+            const auto work = boost::asio::make_work_guard(io_);
+            io_.run();
+        });
+    }
+    ~Tier() {
+        io_.stop();
+        thread_.join();
+    }
+
+    Result play(const Progress& progress) {
+        const auto say = [&](const std::string& text) {
+            if (progress) progress(text);
+        };
+        say("starting " + std::to_string(nodes_.size()) + " forwarders");
+        for (const auto& node : nodes_) node->start();
+        for (const auto& node : nodes_) ready(*node);
+        const auto cpu_before = cpu();
+        const auto begun = Clock::now() + 200ms;
+        on_loop([&] { partner_.begin(begun); });
+        clients_->begin(begun);
+        std::multimap<double, std::function<void()>> steps;
+        double last_fault = -1;
+        for (const Fault& fault : scenario_.faults) {
+            last_fault = std::max(last_fault, fault.at_s);
+            steps.emplace(fault.at_s, [this, fault, say] { set(fault, true), say("fault begins"); });
+            if (fault.for_s > 0)
+                steps.emplace(
+                    fault.at_s + fault.for_s, [this, fault, say] { set(fault, false), say("fault ends"); });
+        }
+        for (const auto& [at, step] : steps) {
+            std::this_thread::sleep_until(begun + std::chrono::milliseconds(static_cast<int>(at * 1000)));
+            step();
+        }
+        std::this_thread::sleep_until(
+            begun + std::chrono::milliseconds(static_cast<int>(scenario_.seconds * 1000)));
+        say("traffic ends");
+        std::this_thread::sleep_for(kAfter);
+        Result result;
+        for (const auto& node : nodes_) result.crashed += ended(*node);
+        const double used = cpu() - cpu_before;
+        on_loop([&] { count(result, last_fault); });
+        result.cpu_us_a_message =
+            clients_->jobs().empty() ? 0 : used * 1e6 / static_cast<double>(clients_->jobs().size());
+        return result;
+    }
+
+private:
+    template <class Step>
+    void on_loop(Step step) {
+        std::promise<void> done;
+        boost::asio::post(io_, [&] { step(), done.set_value(); });
+        done.get_future().wait();
+    }
+
+    std::string target_id(std::size_t target) const {
+        return "t-" + std::to_string(target) + (age_[target] > 0 ? "-" + std::to_string(age_[target]) : "");
+    }
+    Json members(std::size_t one) const {
+        Json all = Json::array();
+        for (std::size_t i = 0; i < scenario_.targets; ++i) {
+            if (gone_[i]) continue;
+            const auto relay = relays_.find({one, i});
+            all.push_back({{"id", target_id(i)},
+                {"host_port",
+                    text_of(relay == relays_.end() ? partner_.address(i) : relay->second->address())},
+                {"locality", "a"}, {"flavor", "shop"}, {"cell", 7}, {"phase", "in_service"}, {"size", 1.0},
+                {"up_since_ms", 0}});
+        }
+        return all;
+    }
+    static std::string text(const Udp::endpoint& at) {
+        return at.address().to_string() + ":" + std::to_string(at.port());
+    }
+    Json config(std::size_t one) const {
+        Json config = make_config("127.0.0.1:1", agents_.address(one));
+        std::seed_seq seeds{scenario_.seed, static_cast<std::uint64_t>(one)};
+        std::uint32_t words[2];
+        seeds.generate(words, words + 2);
+        char seed[17];
+        std::snprintf(seed, sizeof seed, "%08x%08x", words[0], words[1]);
+        config["name"] = "n" + std::to_string(one);
+        config["seed"] = seed;
+        Json& settings = config["settings"];
+        for (Json& kind : settings["classes"]) kind["aim_ms"] = 1500, kind["hard_limit_ms"] = 5000;
+        settings["n_instances"] = scenario_.forwarders;
+        if (scenario_.numbered) settings["me"] = one;
+        settings["family_info"] = {{"slots", 12}, {"routes_apart", {scenario_.apart}}, {"per_call", {1}}};
+        settings["limits"]["most_held"] = 140;
+        settings["limits"]["peers"] = scenario_.notes;
+        if (scenario_.notes) {
+            config["peer_listen"] = text(notes_.own(one));
+            for (std::size_t i = 0; i < scenario_.forwarders; ++i)
+                config["peers"].push_back(text(notes_.stand_in(i)));
+        }
+        if (!scenario_.discovery) config.erase("discovery");
+        config["known"] = agents_.list(one);
+        return config;
+    }
+    static void ready(Node& node) {
+        const auto until = Clock::now() + kDeadline;
+        while (Clock::now() < until) try {
+                if (node.client().ask({"PING"}) == "+PONG") return;
+            } catch (const boost::system::system_error&) {
+                std::this_thread::sleep_for(10ms);
+            }
+        throw std::runtime_error("a forwarder is not ready: " + node.log());
+    }
+    bool ended(const Node& node) const { return ::kill(node.pid(), 0) != 0 || node.descriptors() == 0; }
+    double cpu() const {
+        double all = 0;
+        for (const auto& node : nodes_) try {
+                all += node->cpu_seconds();
+            } catch (const std::exception&) {
+            }
+        return all;
+    }
+
+    void set(const Fault& fault, bool on) {
+        for (std::size_t i = fault.who.first; i <= fault.who.last; ++i) {
+            if (fault.what == What::Kill || fault.what == What::Forget) {
+                if (on) {
+                    nodes_[i]->kill(), nodes_[i]->wait();
+                    std::error_code ignored;
+                    if (fault.what == What::Forget) std::filesystem::remove_all(nodes_[i]->state(), ignored);
+                } else {
+                    nodes_[i]->start();
+                }
+            } else if (fault.what == What::Stop) {
+                ::kill(nodes_[i]->pid(), on ? SIGSTOP : SIGCONT);
+            } else {
+                on_loop([&] { set_on_loop(fault, i, on); });
+            }
+        }
+        if (fault.what == What::Leave) on_loop([&] { agents_.changed(); });
+    }
+    void set_on_loop(const Fault& fault, std::size_t i, bool on) {
+        switch (fault.what) {
+            case What::Notes:
+                return void(notes_.fault(i).lost = on ? fault.value : 0);
+            case What::Late:
+                return void(notes_.fault(i).late_s = on ? fault.value : 0);
+            case What::Spoil:
+                return void(notes_.fault(i).spoilt = on ? fault.value : 0);
+            case What::Double:
+                return void(notes_.fault(i).doubled = on ? fault.value : 0);
+            case What::Cut:
+                return void(notes_.fault(i).cut = on);
+            case What::Slow:
+                return partner_.slow(i, on ? fault.value : 1);
+            case What::Errors:
+                return partner_.mode(i, on ? Partner::Mode::Errors : Partner::Mode::Well);
+            case What::Hang:
+                return partner_.mode(i, on ? Partner::Mode::Hang : Partner::Mode::Well);
+            case What::Refuse:
+                if (on)
+                    partner_.refuse_for(i, std::chrono::milliseconds(static_cast<int>(
+                                               1000 * (fault.for_s > 0 ? fault.for_s : scenario_.seconds))));
+                return;
+            case What::Limit:
+                return partner_.limit(on ? fault.value : 1);
+            case What::Leave:
+                gone_[i] = on;
+                if (!on) ++age_[i];
+                return;
+            case What::Link:
+                return relays_.at({i, static_cast<std::size_t>(fault.value)})->silence(on, on);
+            default:
+                return;
+        }
+    }
+
+    void count(Result& result, double last_fault) {
+        result.seed = scenario_.seed, result.name = scenario_.name;
+        const auto seconds = static_cast<std::size_t>(std::ceil(scenario_.seconds));
+        const auto from = static_cast<std::size_t>(std::ceil(scenario_.warm_s));
+        result.load.assign(scenario_.targets, std::vector<int>(seconds));
+        std::mt19937_64 random(scenario_.seed);
+        auto chance = result.load;
+        for (const auto& call : partner_.calls()) {
+            if (call.at_s < 0 || call.at_s >= static_cast<float>(seconds)) continue;
+            const auto second = static_cast<std::size_t>(call.at_s);
+            ++result.load[call.target][second];
+            ++chance[random() % scenario_.targets][second];
+            if (second < from) continue;
+            ++result.calls, result.refused += call.refused;
+        }
+        result.seen = evenness(result.load, from), result.chance = evenness(chance, from);
+        std::vector<double> spans;
+        std::map<std::size_t, std::pair<std::size_t, std::size_t>> by_second;  // come, in time
+        for (const Job& job : clients_->jobs()) {
+            const double span = job.delivered_s - job.begun_s;
+            const bool in_time = job.delivered_s >= 0 && span <= kInTime_s;
+            auto& [come, timely] = by_second[static_cast<std::size_t>(job.begun_s)];
+            ++come, timely += in_time;
+            result.doubled += job.effects > 1;
+            if (job.begun_s < scenario_.warm_s) continue;
+            ++result.messages, result.in_time += in_time, result.delivered += job.delivered_s >= 0;
+            if (job.delivered_s >= 0) spans.push_back(span * 1000);
+        }
+        std::sort(spans.begin(), spans.end());
+        if (!spans.empty()) {
+            result.p50_ms = spans[spans.size() / 2];
+            result.p99_ms = spans[spans.size() * 99 / 100];
+        }
+        for (auto second = by_second.rbegin(); last_fault >= 0 && second != by_second.rend(); ++second) {
+            if (static_cast<double>(second->first) < last_fault) break;
+            if (static_cast<double>(second->second.second) < 0.95 * static_cast<double>(second->second.first))
+                break;
+            result.back_s = static_cast<double>(second->first) - last_fault;
+        }
+        result.connections = partner_.connections();
+        result.notes = notes_.notes(), result.note_bytes = notes_.bytes();
+        result.dead = agents_.dead(), result.bounced = agents_.bounced();
+    }
+
+    const Scenario& scenario_;
+    boost::asio::io_context io_;
+    NoteMesh notes_;
+    Partner partner_;
+    Agents agents_;
+    std::vector<bool> gone_;
+    std::vector<int> age_;
+    std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<TcpRelay>> relays_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::unique_ptr<Clients> clients_;
+    std::thread thread_;
+};
+
+}  // namespace
+
+Result run(const Scenario& scenario, const std::string& program, const Progress& progress) {
+    Tier tier(scenario, program);
+    Result result = tier.play(progress);
+    result.program = program;
+    return result;
+}
+
+}  // namespace lockgw::rig::tier
--- /dev/null
+++ b/rig/tier_main.cpp
@@ -0,0 +1,66 @@
+// lockgw-tier: plays scenarios on whole tiers of real processes, and writes down what was counted.
+//
+//   lockgw-tier --program build/lockgw [--program other/lockgw] --out folder rig/scenarios/herd.toml ...
+//
+// Loopback only; each run is bounded by its scenario; all processes end with it.
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "rig/tier/tier.hpp"
+
+int main(int count, char** words) {
+    using namespace lockgw::rig;
+    CLI::App app("Plays scenarios on whole tiers of real processes.");
+    std::vector<std::string> programs, scenarios;
+    std::string out;
+    std::uint64_t seeds = 1;
+    app.add_option("--program", programs, "a build of the forwarder; several are played one after another")
+        ->required()
+        ->check(CLI::ExistingFile);
+    app.add_option("--out", out, "a folder for table.txt, load.csv, result.json and load.svg");
+    app.add_option("--seeds", seeds, "how many seeds of each, from the scenario's on")
+        ->check(CLI::Range(1, 100));
+    app.add_option("SCENARIO", scenarios, "TOML files")->required()->check(CLI::ExistingFile);
+    CLI11_PARSE(app, count, words);
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        limit.rlim_cur = limit.rlim_max, setrlimit(RLIMIT_NOFILE, &limit);
+    try {
+        std::vector<tier::Scenario> all;
+        for (const std::string& path : scenarios) {
+            std::ifstream stream(path);
+            lockgw::config::Problems problems(path);
+            all.push_back(tier::read_scenario({std::istreambuf_iterator<char>(stream), {}}, problems));
+            if (problems.empty()) continue;
+            std::cerr << problems.text();
+            return 1;
+        }
+        std::vector<tier::Result> results;
+        for (const tier::Scenario& one : all)
+            for (std::uint64_t seed = 0; seed < seeds; ++seed)
+                for (std::size_t i = 0; i < programs.size(); ++i) {
+                    tier::Scenario scenario = one;
+                    scenario.seed += seed;
+                    const std::string name =
+                        scenario.name + (programs.size() > 1 ? " " + std::to_string(i + 1) : "");
+                    results.push_back(tier::run(scenario, std::filesystem::absolute(programs[i]).string(),
+                        [&](const std::string& what) { std::cerr << name << ": " << what << '\n'; }));
+                    results.back().name = name;
+                }
+        std::cout << tier::table_of(results);
+        if (out.empty()) return 0;
+        std::filesystem::create_directories(out);
+        std::ofstream(out + "/table.txt") << tier::table_of(results);
+        std::ofstream(out + "/load.csv") << tier::csv_of(results);
+        std::ofstream(out + "/result.json") << tier::json_of(results);
+        std::ofstream(out + "/load.svg") << tier::svg_of(results);
+        return 0;
+    } catch (const std::exception& bad) {
+        std::cerr << "lockgw-tier: " << bad.what() << '\n';
+        return 1;
+    }
+}
