Even load: each forwarder shares its calls out by an arc of a ring of targets

Need: load spread evenly over a destination's targets although each of hundreds of forwarders sees little of it. Change: src/spread (ring and planner, no I/O or clock) gives each forwarder, by its number among them, the targets that an arc of a ring meets, each for its part; the arc is as wide as the own traffic keeps connections in use. The decision module takes it as SpreadEvent: endpoints go by turns by their part, among calls out, idle connections and health, and one that was not named is used only when the named are busier. Connections of named endpoints are kept for their whole idle time. Where routes are apart, notes tell limits by target (by a name that all know it by), and the own part of a limit goes by those who share the target. lockgw spread prints it.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -95,6 +95,8 @@
     Condition condition = Condition::Ready;
     /// It was kept from work, and comes back as after an outage: told once, when it may serve again.
     bool cold = false;
+    /// The same at all senders, and no other endpoint's: what they tell one another of it; 0: nothing.
+    std::uint64_t known_as = 0;
 };
 /// What the registry tells. Cached and Full replace the list; Changes amend it; Failed leaves it in force.
 struct ListEvent {
@@ -166,6 +168,18 @@
 struct SettingsEvent {
     Settings settings;
 };
+/// How this sender shares out its calls to a destination among the endpoints: in the place of what was told
+/// of it before. An endpoint that is not named is used only where no named one may have a call, or those
+/// named are busier.
+struct SpreadEvent {
+    struct Part {
+        EndpointId endpoint = 0;
+        double weight = 1.0;   ///< above 0; of this destination's they sum to 1
+        double sharers = 0.0;  ///< senders that share its limit with this one, as even parts; 0: all of them
+    };
+    DestinationId destination = 0;
+    std::vector<Part> parts;
+};
 struct AbandonedEvent {
     MessageId message = 0;
 };
@@ -181,7 +195,7 @@
     std::string bytes;
 };
 using Event = std::variant<ListEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent, TimerFired,
-    ProbeResult, PeerNote, RoutesEvent, RerouteEvent, SettingsEvent>;
+    ProbeResult, PeerNote, RoutesEvent, RerouteEvent, SettingsEvent, SpreadEvent>;
 
 // ---- actions ----
 
--- a/rig/tier/relay.cpp
+++ b/rig/tier/relay.cpp
@@ -12,10 +12,11 @@
 
 NoteMesh::NoteMesh(asio::io_context& io, std::size_t forwarders, std::uint64_t seed)
     : io_(io), random_(seed), from_(forwarders), in_(forwarders), faults_(forwarders) {
+    std::vector<Udp::socket> taken;  // given back together: the forwarders bind them
     for (std::size_t i = 0; i < forwarders; ++i) {
-        Udp::socket taken(io, Udp::endpoint(kLoopback, 0));  // given back at once: the forwarder binds it
+        taken.emplace_back(io, Udp::endpoint(kLoopback, 0));
         ends_.push_back(std::make_unique<Udp::socket>(io, Udp::endpoint(kLoopback, 0)));
-        own_.push_back(taken.local_endpoint());
+        own_.push_back(taken.back().local_endpoint());
         number_[own_.back()] = i;
     }
     for (std::size_t i = 0; i < forwarders; ++i) receive(i);
--- a/rig/tier/tier.cpp
+++ b/rig/tier/tier.cpp
@@ -44,8 +44,12 @@
                 }
         std::vector<Tcp::endpoint> addresses;
         for (std::size_t i = 0; i < scenario.forwarders; ++i) {
-            nodes_.push_back(std::make_unique<Node>(config(i), program));
-            addresses.push_back(nodes_.back()->address());
+            std::unique_ptr<Node> node;
+            do {  // each has its port for itself only once it runs
+                node = std::make_unique<Node>(config(i), program);
+            } while (std::find(addresses.begin(), addresses.end(), node->address()) != addresses.end());
+            addresses.push_back(node->address());
+            nodes_.push_back(std::move(node));
         }
         clients_ = std::make_unique<Clients>(io_, scenario_, std::move(addresses));
         thread_ = std::thread([this] {
--- a/src/capture/memory.cpp
+++ b/src/capture/memory.cpp
@@ -14,17 +14,20 @@
 template <class Archive>
 void describe(Archive& a, Route& r) {
     a(r.wait_until)(r.limit_tag)(r.known)(r.gain)(r.refusals)(r.left)(r.paced_from)(r.paced_by)(r.heard);
+    a(r.sharers);
 }
 template <class Archive>
 void describe(Archive& a, Endpoint& e) {
     a(e.destination)(e.zone)(e.kind)(e.condition)(e.own)(e.in_flight)(e.idle)(e.used)(e.heard)(e.often);
     a(e.named)(e.health)(e.failure_seen)(e.failing)(e.refused_row)(e.last_good)(e.refused_at)(e.lost_at);
     a(e.unconnected_at)(e.fell)(e.knowing)(e.returned)(e.cold_tag);
+    a(e.weight)(e.turn)(e.known_as);
 }
 template <class Archive>
 void describe(Archive& a, Destination& d) {
     a(d.shared)(d.endpoints)(d.held)(d.held_of)(d.ready)(d.named)(d.parked)(d.weight)(d.reservation_tag);
     a(d.share_tag)(d.in_flight)(d.usual)(d.asked)(d.asked_at)(d.served_rate)(d.last_served);
+    a(d.spread)(d.turn);
 }
 template <class Archive>
 void describe(Archive& a, Message& m) {
@@ -52,7 +55,7 @@
     a(s.doubts_)(s.looked_at_)(s.sick_calls_)(s.watch_tries_)(s.endpoints_)(s.messages_)(s.keys_);
     a(s.attempts_)(s.calls_)(s.quota_tags_)(s.unconnected_)(s.freed_)(s.routes_)(s.gone_)(s.arrivals_);
     a(s.call_count_)(s.overall_usual_)(s.reserved_)(s.watch_at_)(s.timer_at_)(s.tidy_at_)(s.book_)(
-        s.tell_at_)(s.own_);
+        s.tell_at_)(s.own_)(s.by_name_);
 }
 
 }  // namespace cometspoke::policy
--- a/src/capture/story.cpp
+++ b/src/capture/story.cpp
@@ -107,6 +107,10 @@
     std::string operator()(const SettingsEvent& e) const {
         return "other settings, with " + std::to_string(e.settings.classes.size()) + " classes";
     }
+    std::string operator()(const SpreadEvent& e) const {
+        return "calls to " + std::to_string(e.destination) + " go by turns to " +
+               std::to_string(e.parts.size()) + " endpoints from now on";
+    }
     std::string operator()(const AbandonedEvent& e) const {
         return "message " + id_text(e.message) + " is nobody's any more";
     }
--- a/src/capture/words.hpp
+++ b/src/capture/words.hpp
@@ -33,7 +33,7 @@
 
 template <class Archive>
 void describe(Archive& a, ListEntry& e) {
-    a(e.endpoint)(e.destination)(e.zone)(e.kind)(e.rate)(e.condition)(e.cold);
+    a(e.endpoint)(e.destination)(e.zone)(e.kind)(e.rate)(e.condition)(e.cold)(e.known_as);
 }
 template <class Archive>
 void describe(Archive& a, ListEvent& e) {
@@ -72,6 +72,14 @@
     a(e.settings);
 }
 template <class Archive>
+void describe(Archive& a, SpreadEvent::Part& e) {
+    a(e.endpoint)(e.weight)(e.sharers);
+}
+template <class Archive>
+void describe(Archive& a, SpreadEvent& e) {
+    a(e.destination)(e.parts);
+}
+template <class Archive>
 void describe(Archive& a, AbandonedEvent& e) {
     a(e.message);
 }
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -37,6 +37,14 @@
     return known;
 }
 
+spread::Standing standing_of(const Config& config) {
+    const bool numbered = config.shape.contains("me");
+    const std::size_t of = config.settings.n_instances;
+    return {
+        numbered ? spread::point_of(config.settings.own_number, of) : spread::point_by_chance(config.seed),
+        of, config.settings.conn_idle};
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -54,6 +62,7 @@
       sender_(config_.settings, config_.seed),
       captures_(io, config_, sender_, directory_),
       routes_(std::move(routes)),
+      planner_(standing_of(config_)),
       delivery_(protocols.delivery(
           io, config_, most_target_connections(config_),
           [this](const Call& call, const Tcp::endpoint& address) { return may_have(call, address); },
@@ -167,7 +176,7 @@
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     if (told.complete) members_ = {};
     for (const EndpointId endpoint : gone) {
-        if (const std::string* name = directory_.name_of(endpoint)) note_gone(*name);
+        if (const std::string* name = directory_.name_of(endpoint)) note_gone(*name), planner_.erase(*name);
         delivery_->forget(endpoint);
     }
     ListEvent event;
@@ -184,6 +193,7 @@
         entry.endpoint = *endpoint;
         entry.destination = target.destination;
         entry.rate = target.rate;
+        entry.known_as = spread::known_as(target.id);
         entry.condition = target.condition;
         if (entry.condition == Condition::Ready && orders_.now().out(target.id))
             entry.condition = Condition::Draining;  // by hand
@@ -193,6 +203,7 @@
         }
         if (entry.condition == Condition::Draining) delivery_->withdraw(*endpoint);
         event.entries.push_back(entry);
+        planner_.put(target.id, target.destination, target.rate, entry.condition == Condition::Ready);
         if (target.condition == Condition::Gone)
             members_.erase(target.id);
         else
@@ -257,6 +268,7 @@
         event.tenant = tenant->second;
     }
     event.left = left;
+    planner_.asked(message.destination, steady_now());
     newcomers_.emplace(id, Newcomer{std::move(message), std::move(done)});
     observe(event);
 }
@@ -300,6 +312,7 @@
 void Forwarder::decide_and_act() {
     turn_due_ = false;
     const Time at = steady_now();
+    share_out(at);
     const std::vector<Action> actions = sender_.decide(at);
     captures_.decided(at, actions);
     auto replies = take_on(actions);
@@ -311,6 +324,18 @@
         guarded([&] { std::visit([&](const auto& one) { carry_out(one, recorded[i]); }, actions[i]); });
 }
 
+/// Which targets of each destination are this forwarder's part, where that has changed.
+void Forwarder::share_out(Time now) {
+    for (const auto& change : planner_.changes(now)) {
+        SpreadEvent event;
+        event.destination = change.destination;
+        for (const spread::Part& part : change.parts)
+            if (const auto endpoint = directory_.find(part.id))
+                event.parts.push_back({*endpoint, part.weight, part.sharers});
+        tell_module(event);
+    }
+}
+
 /// What each newcomer hears, if the turn is kept.
 Forwarder::Replies Forwarder::take_on(const std::vector<Action>& actions) {
     Replies replies;
@@ -482,6 +507,20 @@
         {"destinations", std::move(destinations)}};
 }
 
+Json Forwarder::spread() const {
+    Json all = Json::array();
+    for (const auto& row : planner_.rows(steady_now())) {
+        Json targets = Json::array();
+        for (const auto& part : row.parts)
+            targets.push_back({{"name", routes_.endpoint_name(part.id)}, {"id", part.id},
+                {"weight", part.weight}, {"sharers", part.sharers}});
+        all.push_back(
+            {{"number", row.destination}, {"name", routes_.name_of(row.destination)}, {"listed", row.targets},
+                {"rate", row.rate}, {"width", row.width}, {"why", row.why}, {"targets", std::move(targets)}});
+    }
+    return all;
+}
+
 void Forwarder::capture(const std::string& what, Captures::Told told) {
     if (what == "start")
         captures_.start(std::move(told));
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "membership/peers.hpp"
 #include "operations/operations.hpp"
 #include "routes/table.hpp"
+#include "spread/planner.hpp"
 #include "store/journal.hpp"
 #include "store/orders_file.hpp"
 
@@ -51,6 +52,8 @@
     routes::Resolution route(const routes::Query& query) const;
     const routes::Table& routes() const { return routes_; }
     const routes::Members& members() const { return members_; }
+    /// Each destination's targets, which part of the calls they get, and why.
+    Json spread() const;
     /// "start", "stop" or "keep"; `told` is called with the next decision, at once where it is none of them.
     void capture(const std::string& what, Captures::Told told);
     /// What an operator orders: it is written down before it is a yes, and holds from then on.
@@ -78,6 +81,7 @@
     std::optional<std::size_t> class_of(const Message& message);
     void share_terms();
     void tell_routes();
+    void share_out(cometspoke::Time now);
     void reroute_held();
     RouteId route_of(const Message& message) const;
     const std::string& kind_of(std::int64_t destination) const;
@@ -144,6 +148,7 @@
     Captures captures_;
     routes::Table routes_;
     routes::Members members_;  // as listed, by destination
+    spread::Planner planner_;
     std::unique_ptr<Delivery> delivery_;
     Discovery discovery_;
     Peers peers_;
--- a/src/policy/health.hpp
+++ b/src/policy/health.hpp
@@ -1,6 +1,7 @@
 /// What outcomes teach: health of endpoints, limits, usual times, and the budget of a way back.
 #pragma once
 
+#include "base/warming.hpp"
 #include "policy/tags.hpp"
 
 namespace cometspoke::policy {
@@ -16,8 +17,8 @@
         Route& route = route_of(endpoint);
         if (report && report->limit > 0) {
             route.known = route.heard = report->limit, route.left = report->left;
-            if (tells() && !apart(endpoint)) {
-                book_.hear({endpoint.destination, report->limit, report->left, now});
+            if (tells() && (!apart(endpoint) || endpoint.known_as != 0)) {
+                book_.hear({told_as(endpoint), report->limit, report->left, now});
                 retag(route, *endpoint.home);
             }
         }
@@ -82,14 +83,16 @@
     // From a peer: how fast to go. It sets no wait and frees none, tells nothing of attempts, and is no
     // ground for the budget of a way back; whatever it claims, a call goes soon and brings own news.
     void hear(const lockgw::knowledge::LimitFact& fact, Time now) {
-        const auto found = destinations_.find(fact.destination);
+        const auto place = by_name_.find(fact.destination);  // of one whose routes are apart
+        Endpoint* endpoint = place == by_name_.end() ? nullptr : &endpoints_.at(place->second);
+        const auto found = destinations_.find(endpoint ? endpoint->destination : fact.destination);
         if (found == destinations_.end() || !book_.hear(fact)) return;
-        Route& route = found->second.shared;
+        Route& route = endpoint ? endpoint->own : found->second.shared;
         route.heard = fact.limit, route.left = fact.left;
         const Time latest = std::max(route.limit_tag, now + kLongestNews);
         retag(route, found->second);
         route.limit_tag = std::min(route.limit_tag, latest);
-        touch(fact.destination, now);
+        touch(found->first, now);
     }
     void succeed(EndpointId id, double left, Time rtt, Time now) {
         Endpoint& endpoint = endpoints_.at(id);
@@ -159,14 +162,7 @@
         const Time back = endpoint.health == Health::Returning
                               ? endpoint.returned
                               : endpoint.heard + 3 * settings_.warm_within / 2;
-        double gap = step;
-        if (const double warm = seconds(settings_.warm_within); warm > 0 && settings_.cold_from < 1) {
-            const double rise = (1.0 / settings_.cold_from - 1.0) / warm;
-            const double flat = std::clamp(seconds(back - from), 0.0, step);
-            const double since = std::max(0.0, seconds(from - back));
-            const double due = since + rise * since * since / 2.0 + step - flat;
-            gap = flat + (std::sqrt(1.0 + 2.0 * rise * due) - 1.0) / rise - since;
-        }
+        const double gap = warming_gap(settings_, step, seconds(back - from));
         const bool answers = endpoint.health == Health::Returning && endpoint.last_good > endpoint.fell;
         endpoint.cold_tag = from + (answers ? std::clamp(from_seconds(gap), kLeastGap, kTrialGap)
                                             : std::max(paced(kTrialGap, kTrialTimes), from_seconds(gap)));
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -108,6 +108,18 @@
         if (const auto found = messages_.find(event.message); found != messages_.end())
             found->second.route = event.route, changed(event.message, now);
     }
+    void take(const SpreadEvent& event, Time now) {
+        const auto found = destinations_.find(event.destination);
+        if (found == destinations_.end()) return;
+        found->second.spread = !event.parts.empty();
+        for (const EndpointId id : found->second.endpoints) endpoints_.at(id).weight = 0.0;
+        for (const auto& part : event.parts)
+            if (found->second.endpoints.contains(part.endpoint)) {
+                Endpoint& endpoint = endpoints_.at(part.endpoint);
+                endpoint.weight = part.weight, endpoint.own.sharers = part.sharers;
+            }
+        touch(event.destination, now);
+    }
     void take(const SettingsEvent& event, Time) {
         settings_ = checked(event.settings);
         quota_tags_.resize(settings_.tenants.size(), kLongAgo);
@@ -156,8 +168,10 @@
         endpoint.destination = entry.destination;
         Destination& destination = *(endpoint.home = &destinations_[entry.destination]);
         endpoint.zone = entry.zone, endpoint.kind = entry.kind, endpoint.condition = entry.condition;
+        endpoint.known_as = entry.known_as;
         gone ? void(destination.endpoints.erase(entry.endpoint))
              : void(destination.endpoints.insert(entry.endpoint));
+        if (apart(endpoint) && entry.known_as != 0) by_name_[told_as(endpoint)] = entry.endpoint;
         if (settings_.listed_rates) {
             if (entry.rate > 0) destination.weight = entry.rate;
             Route& route = apart(endpoint) ? endpoint.own : destination.shared;
@@ -184,6 +198,7 @@
         std::erase_if(gone_, [&](EndpointId id) {
             if (endpoints_.at(id).in_flight > 0 || doubts_.contains(id)) return false;
             name(endpoints_.at(id), std::nullopt);
+            if (const DestinationId as = told_as(endpoints_.at(id)); by_name_.erase(as) > 0) book_.forget(as);
             endpoints_.erase(id);
             actions_.emplace_back(Forget{id});
             return true;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -12,7 +12,9 @@
 #include <utility>
 
 #include "base/mix.hpp"
+#include "base/worth.hpp"
 #include "containers/due_queue.hpp"
+#include "knowledge/own_part.hpp"
 #include "knowledge/telling.hpp"
 #include "records/records.hpp"
 
@@ -30,16 +32,6 @@
 constexpr double kRiseRoom = 0.3;     // more with the told share of the limit that is left
 constexpr double kLeastGain = 0.5;    // half an even part is always there while others keep to theirs
 
-// Where answers tell the limit and what is left of it: the own part is near an even one while messages wait
-// here, for then they wait at the others too; who has none waiting may go faster, by what is left.
-constexpr double kToldPart = 0.85;   // nothing left: refused calls use the limit up, so a little less
-constexpr double kToldSlope = 0.25;  // more with what is left: slow, for news of it comes late
-constexpr double kFreeSlope = 4.0;   // the same with no backlog,
-constexpr double kFreeShared = 2.0;  // and where all go by the same news
-constexpr double kMuchLeft = 0.7;    // above that faster: the limit is nowhere near
-constexpr double kMuchSlope = 1.5;
-constexpr std::size_t kLeastBacklog = 2;  // messages that wait
-
 // In large fleets a sender hears of a partner too seldom by itself: what answers tell of limits is passed on.
 constexpr std::size_t kNotesFrom = 16;    // senders
 constexpr Time kLongestNews{10'000'000};  // no note puts a turn off for longer
@@ -80,6 +72,9 @@
 constexpr Time kSweep{100'000};           // silence is looked for this often while calls are out
 constexpr double kNewConnection = 0.7;    // choosing: a new connection weighs as so many calls in flight
 constexpr double kOtherZone = 0.4;        // and another zone as so many
+constexpr double kAhead = 0.5;            // and each call that it is ahead of its part of the calls
+constexpr double kMostBehind = 2.0;       // or less where it is behind: so many at most
+constexpr double kNotNamed = 2.0;         // and one that this sender was not given
 constexpr Time kRecent{60'000'000};       // after a failed connect: allowances of connections seldom change
 constexpr int kReuse = 3;                 // an idle connection is kept if reused within this part of its time
 constexpr double kRoomKept = 0.1;         // share of most_held kept free for worth
@@ -107,22 +102,22 @@
     }
 
     bool apart(const Endpoint& endpoint) const { return settings_.kinds[endpoint.kind].routes_apart; }
+    DestinationId told_as(const Endpoint& one) const {
+        return apart(one) ? static_cast<DestinationId>(one.known_as) : one.destination;
+    }
     Route& route_of(Endpoint& endpoint) { return apart(endpoint) ? endpoint.own : endpoint.home->shared; }
     // l: an even part of the limit times what was learned. Without a known limit it is unbounded (0) until
     // the first refusal, and what the destination is seen to take stands for it.
     double limit(const Route& route, const Destination& destination) const {
         if (route.heard > 0 && route.left >= 0) {
-            const double learned = route.gain > 0 ? std::max(kToldPart, route.gain) : senders();
-            return route.heard / senders() * std::min(learned, told_part(route.left, destination));
+            const double told = lockgw::knowledge::own_part(
+                route.left, destination.held.size(), destination.in_flight, tells());
+            const double learned =
+                route.gain > 0 ? std::max(lockgw::knowledge::kToldPart, route.gain) : senders();
+            return route.heard / sharers(route) * std::min(learned, told);
         }
         if (route.gain == 0.0) return route.known;
-        return capacity(route, destination) / senders() * route.gain;
-    }
-    double told_part(double left, const Destination& destination) const {
-        if (destination.held.size() >= destination.in_flight + kLeastBacklog)
-            return kToldPart + left * kToldSlope;
-        const double much = tells() ? std::max(0.0, left - kMuchLeft) * kMuchSlope : 0.0;
-        return kToldPart + left * (tells() ? kFreeShared : kFreeSlope) + much;
+        return capacity(route, destination) / sharers(route) * route.gain;
     }
     double capacity(const Route& route, const Destination& destination) const {
         return route.known > 0 ? route.known : std::max(kLeastCapacity, destination.served_rate * senders());
@@ -135,6 +130,7 @@
     std::uint64_t rank_of(EndpointId id) const {
         return own_ == 0 ? id : lockgw::mixed(own_ ^ lockgw::mixed(id));
     }
+    double sharers(const Route& route) const { return route.sharers > 0 ? route.sharers : senders(); }
     double senders() const { return static_cast<double>(settings_.n_instances); }
     double usual(const Destination& destination) const {
         const double known = destination.usual > 0 ? destination.usual : overall_usual_;
@@ -172,14 +168,9 @@
     const ClassSettings& terms(const Message& one) const { return settings_.classes[one.message_class]; }
     double worth_of(const Message& message, Time served) const {
         const ClassSettings& kind = settings_.classes[message.message_class];
-        const double worth = kind.worth * (message.over_share ? settings_.over_share_worth : 1.0);
         if (served >= message.deadline) return 0.0;
-        const Time late = served - message.born - kind.aim;
-        if (late <= Time(0)) return worth;
-        const double aims_late = seconds(late) / std::max(seconds(Time(1000)), seconds(kind.aim));
-        if (settings_.loses_worth == LateWorth::Halving)
-            return worth * std::max(kind.late_worth, std::exp2(-aims_late));
-        return worth * (1.0 - (1.0 - kind.late_worth) * seconds(late) / seconds(kind.deadline - kind.aim));
+        const double worth = kind.worth * (message.over_share ? settings_.over_share_worth : 1.0);
+        return worth * worth_left(kind, settings_.loses_worth, message.born, served);
     }
     // The connection used last is taken first; the freshest closes last.
     static bool has_idle(const Endpoint& endpoint, Time now) {
@@ -217,6 +208,7 @@
     std::vector<std::set<EndpointId>> routes_;  // endpoints that each allows, from route 1 on
     std::set<EndpointId> gone_;                 // no longer listed, and not forgotten yet
     lockgw::knowledge::LimitBook book_;
+    std::map<DestinationId, EndpointId> by_name_;  // those whose routes are apart, by what all know them as
     Time tell_at_{kLongAgo};
     std::vector<Action> actions_;
     std::uint64_t arrivals_ = 0, call_count_ = 0;
--- a/src/policy/turns.hpp
+++ b/src/policy/turns.hpp
@@ -60,6 +60,8 @@
         take_connection(endpoint, now);
         endpoint.often = now - std::exchange(endpoint.used, now) < settings_.conn_idle / kReuse;
         if (ailing(*endpoint.home)) ++sick_calls_;
+        if (const double w = endpoint.weight; w > 0)
+            endpoint.turn = std::max(endpoint.turn, ++destination.turn - kMostBehind / w) + 1.0 / w;
         send(pick.message, pick.endpoint, call_id, now);
         fill_call(destination, pick.endpoint, call_id, now);
         step_tags(pick.destination, destination, endpoint, now);
@@ -166,14 +168,19 @@
         }
         return best;
     }
-    // An endpoint with an idle connection first, then the least busy; the own zone before another.
+    // An endpoint with an idle connection first, then the least busy; the own zone before another; each in
+    // turn by its part of the calls.
     double cost_of(const Endpoint& endpoint, Time now) const {
         double cost = endpoint.in_flight;
+        if (endpoint.home->spread)
+            cost += endpoint.weight > 0 ? kAhead * std::max(-kMostBehind, ahead_of(endpoint)) : kNotNamed;
         if (!has_idle(endpoint, now)) cost += kNewConnection;
         if (settings_.zone && endpoint.zone != *settings_.zone) cost += kOtherZone;
         if (endpoint.health != Health::Well) cost += 1.0;
         return cost;
     }
+    // In calls, of its part of those to its destination.
+    static double ahead_of(const Endpoint& one) { return (one.turn - one.home->turn) * one.weight; }
     // Listed as ready, no told wait, and its fall-back budget not spent.
     bool open(EndpointId id, Time now) {
         Endpoint& endpoint = endpoints_.at(id);
@@ -235,8 +242,8 @@
     void close_idle(Time now) {
         for (const EndpointId id : std::exchange(freed_, {})) {
             Endpoint& endpoint = endpoints_.at(id);
-            if (endpoint.idle.empty() || (endpoint.often && now - unconnected_[endpoint.kind] > kRecent))
-                continue;
+            const bool used = endpoint.often || endpoint.weight > 0;
+            if (endpoint.idle.empty() || (used && now - unconnected_[endpoint.kind] > kRecent)) continue;
             endpoint.idle.clear();
             actions_.emplace_back(CloseIdle{id});
         }
--- a/src/program/ask.cpp
+++ b/src/program/ask.cpp
@@ -69,6 +69,21 @@
     });
 }
 
+int print_spread(const std::string& socket, bool json) {
+    return asked(socket, "spread", [json](const Json& all) {
+        if (json) return void(std::cout << all.dump(2) << '\n');
+        for (const Json& one : all) {
+            std::cout << one.at("name").get<std::string>() << ": " << std::fixed << std::setprecision(2)
+                      << one.at("rate").get<double>() << " messages a second here; "
+                      << one.at("why").get<std::string>() << '\n';
+            for (const Json& target : one.at("targets"))
+                std::cout << "  " << std::left << std::setw(32) << target.at("name").get<std::string>()
+                          << std::right << std::setw(6) << 100 * target.at("weight").get<double>()
+                          << " % of them, shared with " << target.at("sharers").get<double>() << '\n';
+        }
+    });
+}
+
 int print_running_routes(const std::string& socket, bool json) {
     return asked(socket, "routes", [json](const Json& rows) {
         if (json)
--- a/src/program/commands.hpp
+++ b/src/program/commands.hpp
@@ -51,6 +51,8 @@
 /// Of a running process, over its control socket.
 constexpr const char* kSocketName = "control";  ///< in the folder that lasts
 int print_status(const std::string& socket, bool json);
+/// Which targets get which part of the calls of the running process, and why.
+int print_spread(const std::string& socket, bool json);
 int print_running_routes(const std::string& socket, bool json);
 /// "start", "stop" or "keep".
 int tell_capture(const std::string& socket, const std::string& what);
--- a/src/records/records.hpp
+++ b/src/records/records.hpp
@@ -33,6 +33,7 @@
     double left = -1.0;         // share of the limit that was left when last told; below 0: never told
     Time paced_from{kLongAgo};  // L stepped from here,
     double paced_by = 1.0;      // by so many gaps
+    double sharers = 0.0;       // senders that share it, as even parts; 0: all
 };
 
 struct Endpoint {
@@ -57,6 +58,9 @@
     double knowing = 1.0;     // share of the senders that know of the outage
     Time returned{0};         // first success after an outage, or its told opening
     Time cold_tag{kLongAgo};  // L while it is not well: the fall-back budget
+    double weight = 0.0;      // its part of this sender's calls to the destination, as told; 0: not named
+    double turn = 0.0;        // when it has had its part, on the destination's scale of calls
+    std::uint64_t known_as = 0;
 };
 
 struct Destination {
@@ -77,6 +81,8 @@
     Time asked_at{kLongAgo};
     double served_rate = 0;  // own successes a second, blended
     Time last_served{kLongAgo};
+    bool spread = false;  // the parts of its endpoints were told
+    double turn = 0.0;    // calls by such parts so far
 };
 
 struct Message {
--- /dev/null
+++ b/tests/spread_test.cpp
@@ -0,0 +1,204 @@
+// The shares of a tier, without processes: what each forwarder is given, taken together.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+#include <random>
+
+#include "spread/planner.hpp"
+
+namespace lockgw::spread {
+namespace {
+
+using namespace std::chrono_literals;
+
+Ring ring_of(std::size_t targets, std::int64_t destination = 7) {
+    Ring ring(destination);
+    for (std::size_t i = 0; i < targets; ++i) ring.put("t-" + std::to_string(i), 1);
+    return ring;
+}
+/// What each target gets of the calls of all, in fair parts, where all have the same traffic.
+std::map<std::string, double> loads(const Ring& ring, std::size_t forwarders, double width) {
+    std::map<std::string, double> all;
+    const auto fair = static_cast<double>(forwarders) / static_cast<double>(ring.size());
+    for (std::size_t i = 0; i < forwarders; ++i) {
+        double sum = 0;
+        for (const Part& part : ring.arc(point_of(i, forwarders), width, forwarders))
+            all[part.id] += part.weight / fair, sum += part.weight;
+        EXPECT_NEAR(sum, 1, 1e-9);
+    }
+    return all;
+}
+
+struct Case {
+    std::size_t forwarders, targets;
+    double width, most, least;
+};
+std::ostream& operator<<(std::ostream& out, const Case& one) {
+    return out << one.forwarders << '_' << one.targets << '_' << static_cast<int>(one.width * 10);
+}
+class Shares : public ::testing::TestWithParam<Case> {};
+// Weights sum to one, no target is nobody's, and each has about its fair part, for many destinations.
+TEST_P(Shares, AreEvenOverTheTier) {
+    const Case& one = GetParam();
+    for (std::int64_t destination = 0; destination < 40; ++destination) {
+        const auto all = loads(ring_of(one.targets, destination), one.forwarders, one.width);
+        ASSERT_EQ(all.size(), one.targets) << "destination " << destination;
+        for (const auto& [id, load] : all) {
+            EXPECT_LE(load, one.most) << id << " of destination " << destination;
+            EXPECT_GE(load, one.least) << id << " of destination " << destination;
+        }
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Spread, Shares,
+    ::testing::Values(Case{1, 1, 1, 1, 1}, Case{100, 20, 1, 1.21, 0.79}, Case{100, 20, 2.7, 1.1, 0.9},
+        Case{300, 30, 1, 1.11, 0.89}, Case{300, 30, 2.7, 1.06, 0.94}, Case{300, 2, 1, 1.01, 0.99},
+        Case{3, 300, 1, 1.05, 0.95}, Case{2, 2, 2, 1.01, 0.99}));
+
+// The order of a list, and what is in it twice, make no difference.
+TEST(Spread, IsTheSameForEveryOrderOfTheList) {
+    std::vector<int> order(20);
+    for (int i = 0; i < 20; ++i) order[static_cast<std::size_t>(i)] = i;
+    std::mt19937 random(3);
+    const auto wanted = ring_of(20).arc(0.3, 3, 100);
+    for (int round = 0; round < 20; ++round) {
+        std::shuffle(order.begin(), order.end(), random);
+        Ring ring(7);
+        for (const int i : order) ring.put("t-" + std::to_string(i), 1);
+        for (const int i : order) EXPECT_FALSE(ring.put("t-" + std::to_string(i), 1));
+        const auto found = ring.arc(0.3, 3, 100);
+        ASSERT_EQ(found.size(), wanted.size());
+        for (std::size_t i = 0; i < found.size(); ++i) {
+            EXPECT_EQ(found[i].id, wanted[i].id);
+            EXPECT_EQ(found[i].weight, wanted[i].weight);
+        }
+    }
+}
+
+// A larger target gets a larger part, by its size.
+TEST(Spread, GivesPartsBySize) {
+    Ring ring = ring_of(10);
+    ring.put("t-3", 3);  // of 12 in all
+    const auto all = loads(ring, 300, 2.5);
+    EXPECT_NEAR(all.at("t-3"), 3.0 * 10 / 12, 0.15);
+    EXPECT_NEAR(all.at("t-4"), 10.0 / 12, 0.15);
+}
+
+// One that goes leaves its part to others; how much moves besides is what the note says (docs/spread.md).
+TEST(Spread, OneThatGoesMovesLittleOfTheOthers) {
+    constexpr std::size_t kForwarders = 100, kTargets = 20;
+    double moved = 0;
+    for (std::int64_t destination = 0; destination < 20; ++destination) {
+        const Ring before = ring_of(kTargets, destination);
+        Ring after = before;
+        after.erase("t-5");
+        for (std::size_t i = 0; i < kForwarders; ++i) {
+            std::map<std::string, double> was;
+            for (const Part& part : before.arc(point_of(i, kForwarders), 2.7, kForwarders))
+                was[part.id] = part.weight;
+            for (const Part& part : after.arc(point_of(i, kForwarders), 2.7, kForwarders))
+                moved += std::max(0.0, part.weight - was[part.id]);
+        }
+    }
+    moved /= 20.0 * kForwarders;
+    EXPECT_LE(moved, 0.3);
+    EXPECT_GE(moved, 1.0 / kTargets - 0.01);
+}
+
+// Half of the forwarders are gone, any of them: those that are left still cover all targets.
+TEST(Spread, HalfOfTheForwardersCoverAllTargets) {
+    std::mt19937 random(9);
+    for (std::int64_t destination = 0; destination < 20; ++destination) {
+        const Ring ring = ring_of(20, destination);
+        std::map<std::string, double> all;
+        for (std::size_t i = 0; i < 100; ++i)
+            if (random() % 2 == 0)
+                for (const Part& part : ring.arc(point_of(i, 100), 2.7, 100)) all[part.id] += part.weight;
+        EXPECT_EQ(all.size(), 20u);
+    }
+}
+
+TEST(Spread, NamesForNotesAreNoDestinations) {
+    EXPECT_EQ(known_as("s-1"), known_as("s-1"));
+    EXPECT_NE(known_as("s-1"), known_as("s-2"));
+    EXPECT_GE(known_as("s-1"), std::uint64_t{1} << 40);
+}
+
+// Forwarders with no numbers stand by chance, not all at one place.
+TEST(Spread, WithoutNumbersTheyDoNotStandTogether) {
+    std::map<int, int> tenths;
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) ++tenths[static_cast<int>(point_by_chance(seed) * 10)];
+    for (const auto& [tenth, count] : tenths) EXPECT_NEAR(count, 100, 40) << tenth;
+}
+
+class PlannerTest : public ::testing::Test {
+protected:
+    void list(std::size_t targets) {
+        for (std::size_t i = 0; i < targets; ++i) planner.put("t-" + std::to_string(i), 7, 1, true);
+    }
+    /// Messages at an even pace; what was told meanwhile.
+    std::vector<Planner::Change> ask(double rate, double seconds_long) {
+        std::vector<Planner::Change> told;
+        const auto until = now + Time(static_cast<Time::rep>(seconds_long * 1e6));
+        while (now < until) {
+            now += Time(static_cast<Time::rep>(1e6 / rate));
+            planner.asked(7, now);
+            for (auto& change : planner.changes(now)) told.push_back(std::move(change));
+        }
+        return told;
+    }
+    Time now{1'000'000'000};
+    Planner planner{{point_of(17, 100), 100, Time(10'000'000)}};
+};
+
+TEST_F(PlannerTest, AnArcGrowsWithTheTrafficAndShrinksAgain) {
+    list(20);
+    ASSERT_EQ(planner.changes(now).size(), 1u);
+    EXPECT_EQ(planner.rows(now)[0].parts.size(), 1u) << "little traffic: one connection that is used";
+    ask(2, 60);
+    const auto some = planner.rows(now)[0];
+    EXPECT_NEAR(some.rate, 2, 0.3);
+    EXPECT_GE(some.parts.size(), 2u);
+    EXPECT_LE(some.parts.size(), 5u);
+    ask(50, 60);
+    EXPECT_EQ(planner.rows(now)[0].parts.size(), 20u);
+    ask(0.2, 300);
+    EXPECT_EQ(planner.rows(now)[0].parts.size(), 1u);
+}
+TEST_F(PlannerTest, SteadyTrafficChangesNothing) {
+    list(20);
+    ask(2, 60);
+    EXPECT_LE(ask(2, 600).size(), 1u);
+}
+TEST_F(PlannerTest, ListsThatSayTheSameChangeNothing) {
+    list(20);
+    EXPECT_EQ(planner.changes(now).size(), 1u);
+    list(20);
+    EXPECT_TRUE(planner.changes(now).empty());
+    planner.put("t-3", 7, 1, false);  // drains
+    const auto told = planner.changes(now);
+    ASSERT_EQ(told.size(), 1u);
+    for (const Part& part : told[0].parts) EXPECT_NE(part.id, "t-3");
+    planner.put("t-4", 8, 1, true);  // moves
+    EXPECT_EQ(planner.changes(now).size(), 1u) << "the new one has one target alone: nothing to share out";
+    for (std::size_t i = 0; i < 20; ++i) planner.erase("t-" + std::to_string(i));
+    const auto gone = planner.changes(now);
+    ASSERT_EQ(gone.size(), 1u);
+    EXPECT_TRUE(gone[0].parts.empty());
+    EXPECT_TRUE(planner.rows(now).empty());
+}
+// Three that see little keep the connections that they have; with much traffic they share all targets out.
+TEST(FewForwarders, ShareOutOnlyWhatTheirTrafficFeeds) {
+    Planner planner({point_of(0, 3), 3, Time(10'000'000)});
+    Time now(1'000'000'000);
+    for (int i = 0; i < 300; ++i) planner.put("t-" + std::to_string(i), 7, 1, true);
+    for (int i = 0; i < 200; ++i) planner.asked(7, now += Time(500'000));
+    EXPECT_TRUE(planner.changes(now).empty());
+    for (int i = 0; i < 100'000; ++i) planner.asked(7, now += Time(1'000));
+    const auto told = planner.changes(now);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_GE(told[0].parts.size(), 100u);
+}
+
+}  // namespace
+}  // namespace lockgw::spread
--- /dev/null
+++ b/tests/tier_test.cpp
@@ -0,0 +1,107 @@
+// Several forwarders at once between stand-ins, with faults between them (rig/tier). Each fails where what it
+// guards is taken out: the bounds lie between what the mend reaches and what was before.
+#include "rig/tier/tier.hpp"
+
+#include <gtest/gtest.h>
+
+#include "rig/tier/relay.hpp"
+
+namespace lockgw::rig::tier {
+namespace {
+
+Scenario scenario(std::size_t forwarders, std::size_t targets, double rate) {
+    Scenario one;
+    one.forwarders = forwarders, one.targets = targets, one.rate = rate;
+    one.seconds = 12, one.warm_s = 2;
+    one.seed = std::random_device{}() % 1'000'000;
+    return one;
+}
+Result played(const Scenario& one) {
+    Result result = run(one, NODE_PATH);
+    EXPECT_EQ(result.crashed, 0u) << "seed " << one.seed;
+    return result;
+}
+double in_time(const Result& one) {
+    return static_cast<double>(one.in_time) / static_cast<double>(std::max<std::size_t>(1, one.messages));
+}
+
+// All have the same list and see little each: before, all went to its first.
+TEST(Tier, NoHerdOnOneTarget) {
+    const Scenario one = scenario(16, 4, 6);
+    const Result result = played(one);
+    EXPECT_LE(result.seen.most, 1.35) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_GE(result.seen.least, 0.65) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_GE(in_time(result), 0.99) << table_of({result});
+    EXPECT_EQ(result.doubled, 0u);
+}
+// Each target has a limit of its own, and refused calls use it up: before, all went from one to the next.
+TEST(Tier, LimitsOfTargetsAreKeptToWithoutRefusals) {
+    Scenario one = scenario(16, 4, 5);
+    one.limit = 16 * 5 / 4 / 0.62, one.apart = true;
+    const Result result = played(one);
+    EXPECT_GE(in_time(result), 0.9) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_LE(result.refused, result.calls / 20) << "seed " << one.seed << '\n' << table_of({result});
+}
+// Forwarders that were not told their numbers are no worse than chance would have it, by some.
+TEST(Tier, WithoutNumbersTheLoadIsThatOfChance) {
+    Scenario one = scenario(16, 4, 6);
+    one.numbered = false;
+    const Result result = played(one);
+    EXPECT_LE(result.seen.most, 3.0) << "seed " << one.seed << '\n' << table_of({result});
+}
+// A third of them stops and goes on, one is killed and comes back with its folder, one without, notes are
+// lost, spoilt and doubled, half is cut off: what is handed in ends once, and those that are left serve.
+TEST(Tier, StopsKillsAndLostNotesLoseNothing) {
+    Scenario one = scenario(12, 4, 4);
+    one.faults = {{Fault::What::Stop, 3, 2, 0, {0, 3}}, {Fault::What::Kill, 3, 1, 0, {4, 4}},
+        {Fault::What::Forget, 4, 1, 0, {5, 5}}, {Fault::What::Notes, 2, 0, 0.3, {0, 11}},
+        {Fault::What::Spoil, 2, 0, 0.2, {0, 11}}, {Fault::What::Double, 2, 0, 0.2, {0, 11}},
+        {Fault::What::Cut, 5, 3, 0, {6, 11}}, {Fault::What::Slow, 6, 3, 4, {1, 1}}};
+    const Result result = played(one);
+    EXPECT_GE(in_time(result), 0.75) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_GE(result.back_s, 0) << "seed " << one.seed << ": not back by the end\n" << table_of({result});
+}
+// A target that answers errors at once draws no more than its part: an error is no sign of room.
+TEST(Tier, FastErrorsDrawNoLoad) {
+    Scenario one = scenario(12, 4, 4);
+    one.faults = {{Fault::What::Errors, 2, 0, 0, {2, 2}}};
+    const Result result = played(one);
+    const auto& load = result.load;
+    double bad = 0, all = 0;
+    for (std::size_t second = 4; second < load[0].size(); ++second)
+        for (std::size_t target = 0; target < load.size(); ++target)
+            all += load[target][second], bad += target == 2 ? load[target][second] : 0;
+    EXPECT_LE(bad / all, 0.25) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_GE(in_time(result), 0.95) << "seed " << one.seed << '\n' << table_of({result});
+}
+
+// ---- the rig itself ----
+
+TEST(Scenarios, AreReadStrictly) {
+    const auto wrong = [](const std::string& text) {
+        config::Problems problems("s.toml");
+        read_scenario(text, problems);
+        return problems.text();
+    };
+    EXPECT_EQ(wrong("forwarders = 3\n[[fault]]\nwhat = \"stop\"\nwho = \"0-2\"\nat_s = 1\n"), "");
+    EXPECT_NE(wrong("forwarder = 3\n").find("s.toml:1:"), std::string::npos);
+    EXPECT_NE(wrong("\nforwarders = 301\n").find("s.toml:2:"), std::string::npos);
+    for (const char* fault :
+        {"what = \"stop\"\nwho = \"3\"", "what = \"stop\"\nwho = \"2-1\"",
+            "what = \"stop\"\nwho = \"0\"\nvalue = 1", "what = \"lose-notes\"\nwho = \"0\"",
+            "what = \"lose-notes\"\nwho = \"0\"\nvalue = 1.5", "what = \"burn\"\nwho = \"0\"", "who = \"0\""})
+        EXPECT_NE(wrong(std::string("forwarders = 3\n[[fault]]\n") + fault + '\n'), "") << fault;
+}
+TEST(Evenness, TellsHerdsFromFairParts) {
+    const auto fair = evenness({{5, 5, 5, 5}, {5, 5, 5, 5}}, 0);
+    EXPECT_DOUBLE_EQ(fair.most, 1);
+    EXPECT_DOUBLE_EQ(fair.least, 1);
+    EXPECT_DOUBLE_EQ(fair.dispersion, 0);
+    std::vector<std::vector<int>> herd(2, std::vector<int>(10));
+    herd[0].assign(10, 20);
+    EXPECT_DOUBLE_EQ(evenness(herd, 0).most, 2);
+    EXPECT_EQ(evenness(herd, 0).idle, 1u);
+}
+
+}  // namespace
+}  // namespace lockgw::rig::tier
