--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -34,12 +34,14 @@
     EXPECT_GE(in_time(result), 0.99) << table_of({result});
     EXPECT_EQ(result.doubled, 0u);
 }
-// Each target has a limit of its own, and refused calls use it up: before, all went from one to the next.
-TEST(Tier, LimitsOfTargetsAreKeptToWithoutRefusals) {
+// Each target has a limit of its own, and refused calls use it up: before, all filled one up to its limit and
+// went on to the next.
+TEST(Tier, TargetsWithLimitsOfTheirOwnAreFilledEvenly) {
     Scenario one = scenario(16, 4, 5);
     one.limit = 16 * 5 / 4 / 0.62, one.apart = true;
     const Result result = played(one);
     EXPECT_GE(in_time(result), 0.9) << "seed " << one.seed << '\n' << table_of({result});
+    EXPECT_LE(result.seen.most, 1.4) << "seed " << one.seed << '\n' << table_of({result});
     EXPECT_LE(result.refused, result.calls / 20) << "seed " << one.seed << '\n' << table_of({result});
 }
 // Forwarders that were not told their numbers are no worse than chance would have it, by some.
