--- a/rig/tier/relay.cpp
+++ b/rig/tier/relay.cpp
@@ -92,7 +92,7 @@
                             pump(from, to, in, silent);
                         });
                 };
-                silent && !owner_.pairs_.empty() ? held_.push_back(go) : go();
+                silent ? held_.push_back(go) : go();
             });
     }
 
@@ -126,8 +126,4 @@
         for (const auto& pair : std::set(pairs_)) pair->go_on();
 }
 
-void TcpRelay::reset_all() {
-    for (const auto& pair : std::set(pairs_)) pair->reset();
-}
-
 }  // namespace lockgw::rig::tier
--- a/rig/tier/relay.hpp
+++ b/rig/tier/relay.hpp
@@ -62,7 +62,6 @@
     Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     /// Nothing is passed on, in both directions or towards the upstream alone; connections stay open.
     void silence(bool towards_upstream, bool back);
-    void reset_all();
 
 private:
     class Pair;
--- a/rig/tier/scenario.cpp
+++ b/rig/tier/scenario.cpp
@@ -95,7 +95,6 @@
     all.limit = table.number("limit", 0, 1e6).value_or(all.limit);
     all.apart = table.boolean("apart").value_or(all.apart);
     all.refused_count = table.boolean("refused_count").value_or(all.refused_count);
-    all.most_connections = count(table, "most_connections", all.most_connections, 100'000);
     all.notes = table.boolean("notes").value_or(all.notes);
     all.discovery = table.boolean("discovery").value_or(all.discovery);
     all.numbered = table.boolean("numbered").value_or(all.numbered);
--- a/rig/tier/scenario.hpp
+++ b/rig/tier/scenario.hpp
@@ -51,8 +51,7 @@
     std::size_t queue = 64;   ///< that wait there
     double limit = 0;         ///< calls a second: of each target where `apart`, of all together else; 0: none
     bool apart = false;
-    bool refused_count = true;         ///< refused calls use the limit up
-    std::size_t most_connections = 0;  ///< at a target; 0: any number
+    bool refused_count = true;  ///< refused calls use the limit up
     bool notes = true, discovery = true;
     bool numbered = true;  ///< forwarders are told their numbers; else all believe to be the first
     std::vector<Fault> faults;
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -58,7 +58,8 @@
     one.faults = {{Fault::What::Stop, 3, 2, 0, {0, 3}}, {Fault::What::Kill, 3, 1, 0, {4, 4}},
         {Fault::What::Forget, 4, 1, 0, {5, 5}}, {Fault::What::Notes, 2, 0, 0.3, {0, 11}},
         {Fault::What::Spoil, 2, 0, 0.2, {0, 11}}, {Fault::What::Double, 2, 0, 0.2, {0, 11}},
-        {Fault::What::Cut, 5, 3, 0, {6, 11}}, {Fault::What::Slow, 6, 3, 4, {1, 1}}};
+        {Fault::What::Cut, 5, 3, 0, {6, 11}}, {Fault::What::Slow, 6, 3, 4, {1, 1}},
+        {Fault::What::Link, 4, 2, 2, {8, 9}}};
     const Result result = played(one);
     EXPECT_GE(in_time(result), 0.7) << "seed " << one.seed << '\n' << table_of({result});
     EXPECT_GE(result.delivered, result.messages * 9 / 10) << "seed " << one.seed << '\n'
