--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -55,6 +55,9 @@
     http::request<http::string_body> request;
     std::function<void(const std::string&)> write;  ///< sends the raw bytes of a response
     std::function<void()> hang_up;                  ///< closes the connection
+    /// Sends raw bytes beside the response: the next request is not read because of them.
+    std::function<void(const std::string&)> push;
+    int connection = 0;  ///< number of the connection, in the order in which they were accepted
 
     std::string header(const char* name) const {
         const auto value = request[name];
@@ -98,8 +101,9 @@
 
 private:
     struct Connection {
-        explicit Connection(Tcp::socket accepted) : socket(std::move(accepted)) {}
+        Connection(Tcp::socket accepted, int number) : socket(std::move(accepted)), number(number) {}
         Tcp::socket socket;
+        int number;
         boost::beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
     };
@@ -111,8 +115,7 @@
     void accept() {
         acceptor_.async_accept([this](auto failed, Tcp::socket socket) {
             if (failed) return;
-            ++connections_;
-            read(std::make_shared<Connection>(std::move(socket)));
+            read(std::make_shared<Connection>(std::move(socket), ++connections_));
             accept();
         });
     }
@@ -140,7 +143,14 @@
                     boost::system::error_code ignored;
                     connection->socket.close(ignored);
                 });
-            }};
+            },
+            [this, connection](const std::string& bytes) {
+                asio::post(io_, [connection, bytes] {
+                    boost::system::error_code ignored;
+                    asio::write(connection->socket, asio::buffer(bytes), ignored);
+                });
+            },
+            connection->number};
     }
 
     asio::io_context io_;
