Targets: an answer proves something only if it can be no earlier call's

Cause: an answer was paired with a call by its order on the connection alone. A second copy of an earlier answer that crosses the next call was read as that call's: a copy of a 503 'proved' that it never ran, a copy of a 200 that it was delivered.

Change: a connection is reused only after answers of 200, so that a refusal can be no copy, and only after 1 s of rest, so that it can be no answer of an earlier call; messages that may be repeated freely may go earlier, and a refusal then closes the connection. A further answer that is no 200 contradicts it: the message is owed again as one that may have run. If the connection ends, or the process, 'dead' is reported. A target that has sent a stray answer gets one call a connection for a time. The decisions are pure (connection_history, stray_record), the connection has a file of its own.

--- a/src/core/delivery.hpp
+++ b/src/core/delivery.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "config/config.hpp"
 
@@ -27,15 +28,37 @@
     /// On the steady clock. A call that is not fully written by then ends, in such a way that the target does
     /// not take it.
     cometspoke::Time begin_by{cometspoke::Time::max()};
+    /// The message may be sent again whatever became of this call (Effect::Retryable).
+    bool repeatable = false;
+};
+
+/// The end of a call.
+struct CallResult {
+    cometspoke::OutcomeEvent event;
+    /// Of a delivery: the answer may belong to an earlier call. SettledCallback follows.
+    bool unconfirmed = false;
+};
+
+/// What became of deliveries that were told as unconfirmed.
+enum class Confirmation {
+    Confirmed,
+    Unknown,       ///< nothing more can be learned: it may have been delivered
+    Contradicted,  ///< another answer came, which may be the call's own: it may or may not have run
 };
 
 /// A protocol for targets.
 class Delivery {
 public:
-    using OutcomeCallback = std::function<void(cometspoke::OutcomeEvent)>;
+    using OutcomeCallback = std::function<void(const CallResult&)>;
+    using SettledCallback = std::function<void(const std::vector<MessageId>&, Confirmation)>;
     /// Whether the call may still be sent to the process at this address. Asked once per call, right before
     /// its first byte is written. If it returns false the outcome is NotSent: the call has certainly not run.
     using SendGate = std::function<bool(const Call&, const Tcp::endpoint&)>;
+    struct Callbacks {
+        SendGate may_send;
+        OutcomeCallback on_outcome;
+        SettledCallback on_settled;
+    };
 
     virtual ~Delivery() = default;
 
@@ -59,7 +82,7 @@
 };
 
 /// Creates a delivery that may hold at most `max_connections` descriptors.
-using DeliveryFactory = std::function<std::unique_ptr<Delivery>(asio::io_context&, const Config&,
-    std::size_t max_connections, Delivery::SendGate, Delivery::OutcomeCallback)>;
+using DeliveryFactory = std::function<std::unique_ptr<Delivery>(
+    asio::io_context&, const Config&, std::size_t max_connections, Delivery::Callbacks)>;
 
 }  // namespace lockgw
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -66,10 +66,12 @@
       captures_(io, config_, sender_, directory_),
       routes_(std::move(routes)),
       planner_(subset_parameters(config_), config_.spread),
-      delivery_(protocols.delivery(
-          io, config_, max_target_connections(config_),
-          [this](const Call& call, const Tcp::endpoint& address) { return may_send(call, address); },
-          [this](const OutcomeEvent& event) { handle_outcome(event); })),
+      delivery_(protocols.delivery(io, config_, max_target_connections(config_),
+          {[this](const Call& call, const Tcp::endpoint& address) { return may_send(call, address); },
+              [this](const CallResult& result) { handle_outcome(result); },
+              [this](const std::vector<MessageId>& messages, Confirmation confirmation) {
+                  handle_settled(messages, confirmation);
+              }})),
       discovery_(
           io,
           {config_.discovery, config_.known, cometspoke::settings::names_in(config_.names.zones),
@@ -240,17 +242,21 @@
 }
 
 /// The end of a call: records it, and passes it to the recovery, the planner and the module.
-void Forwarder::handle_outcome(const OutcomeEvent& event) {
+void Forwarder::handle_outcome(const CallResult& result) {
+    const OutcomeEvent& event = result.event;
     schedule_turn();
     const Entry* entry = journal_.find(event.message);
-    if (entry != nullptr && !entry->notice) {
+    if (entry != nullptr && entry->owed()) {
         if (event.wait > Time(0))  // recorded before anything that depends on it
             recovery_.record_retry_after(event.endpoint, entry->message.destination, event.wait);
-        if (event.terminal)
-            journal_.delivered(event.message), recently_ended_.add(event.message, steady_now()),
-                recovery_.on_message_ended(event.message, event.outcome == Outcome::Served);
-        else
+        if (event.terminal) {
+            const bool keep = result.unconfirmed && journal_.has_spare_room();
+            keep ? journal_.delivered_unconfirmed(event.message) : journal_.delivered(event.message);
+            recently_ended_.add(event.message, steady_now());
+            recovery_.on_message_ended(event.message, event.outcome == Outcome::Served);
+        } else {
             journal_.end_attempt(event.message, proves_never_ran(event.outcome));
+        }
     }
     recovery_.on_outcome(event);
     if (event.outcome == Outcome::Served)
@@ -260,6 +266,24 @@
     stop_if_done();
 }
 
+/// Deliveries that were told as unconfirmed are confirmed, or their messages are owed again. One that was
+/// contradicted is held again and may have run; the module decides whether its class allows another attempt.
+/// Of one that stays unknown the final status is reported, which changes nothing if it was delivered.
+void Forwarder::handle_settled(const std::vector<MessageId>& messages, Confirmation confirmation) {
+    schedule_turn();
+    for (const MessageId id : messages) {
+        const Entry* entry = journal_.find(id);
+        if (entry == nullptr || !entry->unconfirmed) continue;
+        if (confirmation == Confirmation::Confirmed)
+            journal_.delivered(id);
+        else if (confirmation == Confirmation::Unknown)
+            end_message(id, {});
+        else if (journal_.reopen(id))
+            resume_message(*entry);
+    }
+    stop_if_done();
+}
+
 /// Passes an event to the module and has a turn decide on it. The module gets all events of a turn of the
 /// loop before the one decision on them.
 void Forwarder::observe(const Event& event) {
@@ -390,8 +414,9 @@
         return observe(event);
     }
     const Message& message = journal_.find(send.message)->message;
-    delivery_->start({send.message, send.endpoint, recorded.attempt, message.destination, message.key,
-        message.body, send.time_out, send.begin_by});
+    delivery_->start(
+        {send.message, send.endpoint, recorded.attempt, message.destination, message.key, message.body,
+            send.time_out, send.begin_by, message.terms && message.terms->effect == Effect::Retryable});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel, const Recorded&) {
     delivery_->cancel(cancel.message, cancel.attempt);
@@ -433,7 +458,7 @@
     observe(RoutesEvent{});
     observe_routes();
     for (const auto& [id, entry] : journal_.entries())
-        if (!entry.notice)
+        if (entry.owed())
             observe(RerouteEvent{id, routes_.refuses(route_of(entry.message)) ? 0 : route_of(entry.message)});
 }
 
@@ -455,7 +480,7 @@
     const auto longest = std::chrono::duration<double, std::milli>(longest_turn_).count();
     std::map<std::int64_t, std::size_t> held;
     for (const auto& [id, entry] : journal_.entries())
-        if (!entry.notice) ++held[entry.message.destination];
+        if (entry.owed()) ++held[entry.message.destination];
     Json destinations = Json::array();
     for (const auto& [number, members] : members_.by_destination()) {
         Json endpoints = Json::array();
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -154,7 +154,8 @@
     bool may_send(const Call& call, const Tcp::endpoint& address) const;
     void submit(Message message, cometspoke::Time left, ReplyCallback on_reply) override;
     bool free_descriptor() override { return delivery_->close_one_idle(); }
-    void handle_outcome(const cometspoke::OutcomeEvent& event);
+    void handle_outcome(const CallResult& result);
+    void handle_settled(const std::vector<MessageId>& messages, Confirmation confirmation);
     void observe(const cometspoke::Event& event);
     void notify_module(const cometspoke::Event& event);
     void run_turn();
--- a/src/core/forwarder_recovery.cpp
+++ b/src/core/forwarder_recovery.cpp
@@ -55,7 +55,7 @@
     for (const auto& [id, submitted] : submitted_)
         if (uses(submitted.message)) return true;
     for (const auto& [id, entry] : journal_.entries())
-        if (!entry.notice && uses(entry.message)) return true;
+        if (entry.owed() && uses(entry.message)) return true;
     return false;
 }
 /// Starts the recovery, before any message is resumed: loads the snapshot of what the previous process had
@@ -101,7 +101,7 @@
 void Forwarder::recover_messages(bool at_once) {
     const std::size_t classes = config_.settings.classes.size();
     for (const Entry* entry : journal_.in_order())
-        if (!entry->notice) class_number_of(entry->message);
+        if (entry->owed()) class_number_of(entry->message);
     if (config_.settings.classes.size() > classes) observe(SettingsEvent{config_.settings});
     update_class_terms();
     const Moment now = moment_now();
@@ -112,6 +112,11 @@
             discovery_.report_final_status(message.id, *entry->notice);
             continue;
         }
+        if (entry->unconfirmed) {  // nothing more can be learned; the report changes nothing if it was
+                                   // delivered
+            end_message(message.id, {});
+            continue;
+        }
         const auto message_class = class_number_of(message);
         if (!message_class) {  // the class was removed meanwhile, and its settings are not known
             end_message(message.id, {});
@@ -161,8 +166,7 @@
 void Forwarder::resume_released_messages(Time now) {
     apply_peer_state();
     for (const MessageId id : recovery_.release_backlog(now))
-        if (const Entry* entry = journal_.find(id); entry != nullptr && !entry->notice)
-            resume_message(*entry);
+        if (const Entry* entry = journal_.find(id); entry != nullptr && entry->owed()) resume_message(*entry);
 }
 
 /// Ends a message of an earlier process that the module does not know: records and reports its final status.
--- a/src/deliveries/http/answer.hpp
+++ b/src/deliveries/http/answer.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "cometspoke/sender.hpp"
 
@@ -51,9 +52,15 @@
     bool empty() const { return empty_; }
     /// Its first line was read and says 200: the message is delivered, whatever becomes of the rest.
     bool says_delivered() const { return first_line_ == 200u; }
+    /// Its first line was read and has another status of a final answer.
+    bool says_otherwise() const { return first_line_ && *first_line_ / 100 != 1 && *first_line_ != 200; }
     bool head_read() const { return parser_->is_header_done(); }
     /// Whether the connection may carry another call: nothing came behind the answer.
-    bool reusable() const { return state_ == State::Whole && bytes_.empty() && parser_->get().keep_alive(); }
+    bool reusable() const { return state_ == State::Whole && bytes_.empty() && keep_alive(); }
+    /// Its head, as far as it was read, does not end the connection.
+    bool keep_alive() const { return parser_->get().keep_alive(); }
+    /// What came behind the answer.
+    std::string take_rest() { return std::exchange(bytes_, {}); }
     /// What the head says, by the protocol's table; `reports`: it may carry a load report.
     cometspoke::OutcomeEvent outcome(bool reports, cometspoke::Time longest_wait) const;
 
--- /dev/null
+++ b/src/deliveries/http/connection_history.cpp
@@ -0,0 +1,18 @@
+#include "deliveries/http/connection_history.hpp"
+
+namespace lockgw {
+
+bool ConnectionHistory::may_carry(bool repeatable, Time now) const {
+    if (rested(now)) return true;
+    return repeatable && unconfirmed_.size() < kMostUnconfirmed;
+}
+
+bool ConnectionHistory::rested(Time now) const { return answers_ == 0 || now - last_answer_at_ >= kRestTime; }
+
+Belief ConnectionHistory::judge(bool delivered, bool may_be_copy) const {
+    if (answers_ == 0) return Belief::Certain;
+    if (rested_before_call_ && !may_be_copy) return Belief::Certain;
+    return delivered ? Belief::Unconfirmed : Belief::Doubtful;
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/deliveries/http/target_connection.cpp
@@ -0,0 +1,304 @@
+#include "deliveries/http/target_connection.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "deliveries/http/targets.hpp"
+#include "logging/log.hpp"
+
+namespace lockgw {
+
+namespace http = boost::beast::http;
+using cometspoke::Outcome;
+using cometspoke::OutcomeEvent;
+using cometspoke::Time;
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kAnswerWait = 1s;      // from the first byte of an answer to its last
+constexpr auto kLeastWait = 60s;      // a told wait is believed so far,
+constexpr int kWaitDeadlines = 5;     // or so many of the longest deadlines
+constexpr auto kLongestSilence = 3s;  // that a retired connection with strays is waited for
+constexpr auto kConfirmGrid = 250ms;  // so that many connections are confirmed in one turn
+
+/// No outage lasts so long that a longer wait would be worth heeding, and one spoilt figure must not shut a
+/// destination for good.
+Time longest_wait(const Config& config) {
+    Time longest{0};
+    for (const auto& kind : config.settings.classes) longest = std::max(longest, kind.deadline);
+    return std::max<Time>(kLeastWait, kWaitDeadlines * longest);
+}
+
+/// Of a call: when the last of it must be written.
+Clock::time_point begin_by(const Call& call) {
+    if (call.begin_by >= std::chrono::duration_cast<Time>(Clock::duration::max()))
+        return Clock::time_point::max();
+    return Clock::time_point(call.begin_by);
+}
+
+Clock::time_point next_on_grid(Clock::time_point when) {
+    const auto since = when.time_since_epoch();
+    return Clock::time_point((since / kConfirmGrid + 1) * Clock::duration(kConfirmGrid));
+}
+
+/// What is told of an answer that may be another call's. A message that may be repeated freely needs no
+/// proof, and its refusal still tells what the endpoint takes.
+OutcomeEvent without_proof(OutcomeEvent event, bool repeatable) {
+    if (repeatable && !event.terminal) return event;
+    event.outcome = Outcome::Unreadable;
+    event.terminal = false;
+    return event;
+}
+
+}  // namespace
+
+TargetConnection::TargetConnection(Targets& owner, EndpointId endpoint, const Tcp::endpoint& address)
+    : owner_(owner), endpoint_(endpoint), address_(address), socket_(owner.io_), timer_(owner.io_) {}
+
+void TargetConnection::start(Call call) {
+    begun_ = Clock::now();
+    ++turn_;
+    written_ = begun_writing_ = false;
+    call_ = std::move(call);
+    answer_ = Answer();
+    rest_ = Rest::None;
+    watched_ = false;
+    if (history_.rested(begun_)) settle(Confirmation::Confirmed);
+    history_.begin_call(begun_);
+    if (socket_.is_open()) {
+        socket_.cancel();  // the watch over a resting connection
+        return write();
+    }
+    const auto connected_by =
+        begun_ + std::min<Clock::duration>(call_->time_out, owner_.config_.connect_timeout);
+    wait_until(std::min(connected_by, begin_by(*call_)));
+    // for want of descriptors here nothing is learned of the target
+    if (!open()) return not_sent();
+    socket_.async_connect(address_, guarded([this](auto failed) {
+        if (failed) return end(Outcome::NoConnection);
+        socket_.set_option(Tcp::no_delay(true), failed);
+        socket_.non_blocking(true, failed);
+        write();
+    }));
+}
+
+void TargetConnection::wait_until(Clock::time_point when) {
+    timer_.expires_at(when);
+    timer_.async_wait(guarded([this, when](auto cancelled) {
+        if (!cancelled && when == timer_.expiry()) expire();
+    }));
+}
+void TargetConnection::expire() {
+    if (rest_ != Rest::None) return expire_rest();
+    if (!call_) return owner_.gone(shared_from_this());
+    if (written_) return end(answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
+    // its last byte may have gone out although nobody has said so yet
+    if (begun_writing_) return end(Outcome::NoAnswer);
+    // that a repeat's window closed meanwhile tells nothing of the target
+    const bool too_late = Clock::now() >= begin_by(*call_);
+    end(too_late ? Outcome::NotSent : Outcome::NoConnection);
+}
+
+bool TargetConnection::open() {
+    boost::system::error_code failed;
+    socket_.open(address_.protocol(), failed);
+    while (failed && out_of_descriptors(failed.value()) && (owner_.drop_one() || owner_.spare_.release()))
+        socket_.open(address_.protocol(), failed);
+    return !failed;
+}
+void TargetConnection::write() {
+    // The connection may have come up in the same turn of the loop in which the call's time ran out.
+    const bool too_late = Clock::now() >= std::min(begin_by(*call_), begun_ + call_->time_out);
+    if (too_late || !owner_.callbacks_.may_send(*call_, address_)) return not_sent();
+    begun_writing_ = true;
+    const auto left = begun_ + call_->time_out - Clock::now();
+    wait_until(std::min(begun_ + call_->time_out, begin_by(*call_)));
+    request_ = {http::verb::post, "/v1/messages", 11};
+    request_.set(http::field::host, owner_.config_.name);
+    request_.set("X-Call-Id", cometspoke::settings::id_text(call_->message));
+    if (!call_->key.empty()) request_.set("Idempotency-Key", call_->key);
+    const auto budget = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    request_.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, budget)));
+    request_.body() = std::move(call_->body);
+    request_.content_length(request_.body().size());
+    http::async_write(socket_, request_, guarded([this](auto failed) {
+        if (failed) return end(Outcome::NoConnection);
+        written_ = true;
+        wait_until(begun_ + call_->time_out);
+        read();
+    }));
+}
+
+/// Told in a turn of its own: the call may just be being started.
+void TargetConnection::not_sent() {
+    asio::post(owner_.io_, [self = shared_from_this(), turn = turn_] {
+        if (turn == self->turn_) self->end(Outcome::NotSent);
+    });
+}
+
+void TargetConnection::read() {
+    socket_.async_wait(Tcp::socket::wait_read, guarded([this](auto failed) { failed ? ended() : take(); }));
+}
+void TargetConnection::take() {
+    boost::system::error_code failed;
+    const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+    if (failed == asio::error::would_block) return read();
+    if (failed) return ended();
+    const bool first = answer_.empty();
+    switch (answer_.feed({owner_.in_.data(), count})) {
+        case Answer::State::Whole:
+            return finish();
+        case Answer::State::Spoilt:
+            return end(Outcome::Unreadable);
+        case Answer::State::Open:
+            break;
+    }
+    // An answer that has begun must end soon: it holds a slot, and some never end.
+    if (call_ && first && !answer_.empty())
+        wait_until(std::min(begun_ + call_->time_out, Clock::now() + kAnswerWait));
+    // Delivered, and the head is read: the outcome must not wait for a body that means nothing.
+    if (call_ && answer_.says_delivered() && answer_.head_read()) {
+        owner_.finishing(shared_from_this());
+        const Call call = *std::exchange(call_, std::nullopt);
+        const OutcomeEvent told = outcome();
+        report(call, told, judge(call, told));
+    }
+    read();
+}
+/// By the target: that may be the end of an answer which tells no length.
+void TargetConnection::ended() {
+    if (answer_.ended() == Answer::State::Whole) return finish();
+    end(answer_.empty() ? Outcome::ConnectionLost : Outcome::Unreadable);
+}
+
+OutcomeEvent TargetConnection::outcome() const {
+    return answer_.outcome(owner_.config_.reports, longest_wait(owner_.config_));
+}
+/// Remembers the message if its delivery is unconfirmed.
+Belief TargetConnection::judge(const Call& call, const OutcomeEvent& event) {
+    const bool delivered = event.outcome == Outcome::Served;
+    const bool may_be_copy = delivered && answer_.keep_alive();
+    const Belief belief = history_.judge(delivered, may_be_copy);
+    if (belief == Belief::Unconfirmed) history_.add_unconfirmed(call.message);
+    return belief;
+}
+void TargetConnection::finish() {
+    const auto self = shared_from_this();
+    const auto call = std::exchange(call_, std::nullopt);
+    const OutcomeEvent told = outcome();
+    const Belief belief = call ? judge(*call, told) : Belief::Certain;
+    const bool kept = answer_.reusable() && told.outcome == Outcome::Served;
+    const std::string surplus = answer_.take_rest();
+    history_.end_answer(Clock::now());
+    // first: the decision on this outcome may want the connection
+    if (belief == Belief::Doubtful)
+        owner_.gone(self);  // gives the call up: it may still be out
+    else
+        kept ? owner_.now_idle(self) : owner_.retire(self);
+    if (call) report(*call, told, belief);
+    if (!surplus.empty()) take_surplus(surplus);
+}
+/// Nothing more is read: what has come so far decides. A first line of 200 is true by itself, if it is the
+/// call's own; no other status proves anything unless the whole answer is sound.
+void TargetConnection::end(Outcome otherwise) {
+    const auto self = shared_from_this();
+    const auto call = std::exchange(call_, std::nullopt);
+    OutcomeEvent event;
+    event.outcome = otherwise;
+    const bool delivered = written_ && answer_.says_delivered();
+    if (delivered) event.outcome = Outcome::Served, event.terminal = true;
+    if (call) report(*call, event, delivered ? judge(*call, event) : Belief::Certain);
+    owner_.gone(self);
+}
+void TargetConnection::report(const Call& call, OutcomeEvent event, Belief belief) {
+    if (belief == Belief::Doubtful) event = without_proof(event, call.repeatable);
+    event.message = call.message;
+    event.endpoint = call.endpoint;
+    event.attempt = call.attempt;
+    event.rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
+    owner_.ended(shared_from_this(), {event, belief == Belief::Unconfirmed});
+}
+
+// ---- between calls ----
+
+/// A target's close is noticed at once, and so is an answer to which there is no call. The connection is left
+/// before the target may close it.
+void TargetConnection::rest_for(Clock::duration span) { begin_rest(Rest::ForCall, span); }
+void TargetConnection::retire() { begin_rest(Rest::ForSilence, kLongestSilence); }
+void TargetConnection::begin_rest(Rest rest, Clock::duration span) {
+    ++turn_;
+    watched_ = false;
+    rest_ = rest;
+    rest_ends_ = Clock::now() + span;
+    wait_for_silence();
+    watch();
+}
+void TargetConnection::wait_for_silence() {
+    const auto silent_at = next_on_grid(Clock::now() + ConnectionHistory::kRestTime);
+    wait_until(history_.has_unconfirmed() ? std::min(rest_ends_, silent_at) : rest_ends_);
+}
+void TargetConnection::expire_rest() {
+    settle(Confirmation::Confirmed);
+    if (rest_ == Rest::ForSilence || Clock::now() >= rest_ends_) return owner_.gone(shared_from_this());
+    wait_until(rest_ends_);
+}
+void TargetConnection::settle(Confirmation confirmation) {
+    if (history_.has_unconfirmed()) owner_.settled(history_.take_unconfirmed(), confirmation);
+}
+void TargetConnection::watch() {
+    if (std::exchange(watched_, true)) return;
+    socket_.async_wait(Tcp::socket::wait_read, guarded([this](auto) {
+        watched_ = false;
+        read_surplus();
+    }));
+}
+bool TargetConnection::silent() {
+    char byte;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+void TargetConnection::read_surplus() {
+    boost::system::error_code failed;
+    const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+    if (failed == asio::error::would_block) return watch();
+    if (failed) return owner_.gone(shared_from_this());
+    take_surplus({owner_.in_.data(), count});
+}
+/// More answers than calls. If all of them say 200, so did the own answers of all calls among them; any other
+/// status may be the own answer of a call whose delivery is unconfirmed.
+void TargetConnection::take_surplus(std::string_view bytes) {
+    const auto self = shared_from_this();
+    if (!std::exchange(surplus_seen_, true)) answer_ = Answer();
+    bool only_deliveries = true;
+    std::string rest(bytes);
+    while (!rest.empty() && only_deliveries) {
+        const Answer::State state = answer_.feed(rest);
+        only_deliveries = state != Answer::State::Spoilt && !answer_.says_otherwise();
+        if (state != Answer::State::Whole) break;
+        rest = answer_.take_rest();
+        answer_ = Answer();
+    }
+    // a server that ends an idle connection may say so by an answer of another status: that is no copy
+    if (only_deliveries) owner_.stray_seen(*this);
+    if (!only_deliveries) settle(Confirmation::Contradicted);
+    if (!history_.has_unconfirmed()) return owner_.gone(self);
+    if (rest_ == Rest::ForCall) return owner_.retire(self);
+    wait_for_silence();
+    watch();
+}
+
+void TargetConnection::close() {
+    ++turn_;
+    watched_ = false;
+    rest_ = Rest::None;
+    boost::system::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+}
+
+}  // namespace lockgw
--- /dev/null
+++ b/src/deliveries/http/target_connection.hpp
@@ -0,0 +1,108 @@
+/// One connection to a target, which carries one call at a time.
+///
+/// Owned by Targets and by its pending handlers. What its answers prove is decided by ConnectionHistory.
+/// Connections with unconfirmed deliveries are read until they have rested, also when they are no longer
+/// used.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/delivery.hpp"
+#include "deliveries/http/answer.hpp"
+#include "deliveries/http/connection_history.hpp"
+
+namespace lockgw {
+
+class Targets;
+
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+public:
+    using Clock = std::chrono::steady_clock;
+
+    TargetConnection(Targets& owner, EndpointId endpoint, const Tcp::endpoint& address);
+
+    EndpointId endpoint() const { return endpoint_; }
+    const Tcp::endpoint& address() const { return address_; }
+    ConnectionHistory& history() { return history_; }
+    const ConnectionHistory& history() const { return history_; }
+
+    /// Writes the call, connecting first if it is new.
+    void start(Call call);
+    void cancel() { end(cometspoke::Outcome::CalledOff); }
+    /// Its call, if it has one, has not begun to be written.
+    bool connecting() const { return call_ && !begun_writing_; }
+    /// Ends a call that has not begun to be written.
+    void withdraw() { not_sent(); }
+
+    /// Rests for `span` at most, until the next call.
+    void rest_for(Clock::duration span);
+    /// Carries no more calls; read until it has rested, then closed.
+    void retire();
+    /// Whether nothing has arrived at a resting connection: a close or an answer that the event loop has not
+    /// reported yet.
+    bool silent();
+    /// Reads what has arrived at a resting connection.
+    void read_surplus();
+    void close();
+
+private:
+    /// What a connection without a call waits for.
+    enum class Rest {
+        None,        ///< a call is out, or the rest of an answer whose call has its outcome
+        ForCall,     ///< the next call
+        ForSilence,  ///< nothing: it is retired
+    };
+
+    /// Handlers of an earlier call or of a closed connection must not touch the present one.
+    template <class Handler>
+    auto guarded(Handler handler) {
+        return [self = shared_from_this(), turn = turn_, handler](auto failed, auto&&...) {
+            if (turn == self->turn_) handler(failed);
+        };
+    }
+    void wait_until(Clock::time_point when);
+    void expire();
+    void expire_rest();
+    bool open();
+    void write();
+    void not_sent();
+    void read();
+    void take();
+    void ended();
+    void finish();
+    void end(cometspoke::Outcome otherwise);
+    Belief judge(const Call& call, const cometspoke::OutcomeEvent& event);
+    void report(const Call& call, cometspoke::OutcomeEvent event, Belief belief);
+    void begin_rest(Rest rest, Clock::duration span);
+    void watch();
+    void wait_for_silence();
+    void settle(Confirmation confirmation);
+    void take_surplus(std::string_view bytes);
+    cometspoke::OutcomeEvent outcome() const;
+
+    Targets& owner_;
+    EndpointId endpoint_;
+    Tcp::endpoint address_;
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::uint64_t turn_ = 0;
+    std::optional<Call> call_;    // until its outcome is told
+    bool begun_writing_ = false;  // the send gate has let it through
+    bool written_ = false;        // the call's last byte
+    Clock::time_point begun_{};
+    boost::beast::http::request<boost::beast::http::string_body> request_;
+    Answer answer_;
+    ConnectionHistory history_;
+    Rest rest_ = Rest::None;
+    Clock::time_point rest_ends_{};
+    bool watched_ = false;  // a handler waits for bytes while it rests
+    bool surplus_seen_ = false;
+};
+
+}  // namespace lockgw
--- a/src/deliveries/http/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -4,64 +4,22 @@
 #pragma once
 
 #include <array>
-#include <boost/multi_index/global_fun.hpp>
-#include <boost/multi_index/hashed_index.hpp>
-#include <boost/multi_index/identity.hpp>
-#include <boost/multi_index/ordered_index.hpp>
-#include <boost/multi_index/sequenced_index.hpp>
-#include <boost/multi_index_container.hpp>
-#include <functional>
-#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/spare_descriptor.hpp"
 #include "core/delivery.hpp"
+#include "deliveries/http/idle_pool.hpp"
+#include "deliveries/http/stray_record.hpp"
 
 namespace lockgw {
 
-class TargetConnection;
-using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
-EndpointId endpoint_of(const TargetConnectionPtr& connection);
-
-/// Connections in the order in which they came, with those of one endpoint together. Nothing walks all of
-/// them.
-class IdlePool {
-    struct ByUse;
-    struct ByName;
-    struct ByEndpoint;
-    using All = boost::multi_index_container<TargetConnectionPtr,
-        boost::multi_index::indexed_by<boost::multi_index::sequenced<boost::multi_index::tag<ByUse>>,
-            boost::multi_index::hashed_unique<boost::multi_index::tag<ByName>,
-                boost::multi_index::identity<TargetConnectionPtr>>,
-            boost::multi_index::ordered_non_unique<boost::multi_index::tag<ByEndpoint>,
-                boost::multi_index::global_fun<const TargetConnectionPtr&, EndpointId, &endpoint_of>>>>;
-
-public:
-    bool empty() const { return all_.empty(); }
-    std::size_t size() const { return all_.size(); }
-    void add(const TargetConnectionPtr& connection) { all_.get<ByUse>().push_back(connection); }
-    void remove(const TargetConnectionPtr& connection) { all_.get<ByName>().erase(connection); }
-    /// The one that came first; not of an empty pool.
-    TargetConnectionPtr oldest() const { return all_.get<ByUse>().front(); }
-    /// Of an endpoint the one that came last; none where there is none.
-    TargetConnectionPtr newest_of(EndpointId endpoint) const {
-        const auto& order = all_.get<ByEndpoint>();
-        const auto end = order.upper_bound(endpoint);
-        if (end == order.begin() || endpoint_of(*std::prev(end)) != endpoint) return nullptr;
-        return *std::prev(end);
-    }
-
-private:
-    All all_;
-};
-
 class Targets final : public Delivery {
 public:
-    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, SendGate may,
-        OutcomeCallback done);
+    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Callbacks callbacks);
     ~Targets() override;
 
     void set_address(EndpointId endpoint, const Tcp::endpoint& address) override;
@@ -77,28 +35,31 @@
     friend class TargetConnection;
     using Connection = TargetConnectionPtr;
 
-    Connection take_idle(EndpointId endpoint);
+    Connection take_idle(const Call& call);
     bool make_room();
     bool drop_one();
     void not_sent(const Call& call);
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
+    void retire(const Connection& connection);
+    void stray_seen(const TargetConnection& connection);
+    void settled(const std::vector<MessageId>& messages, Confirmation confirmation);
     void drop(const Connection& connection);
     void gone(const Connection& connection);
-    void ended(const Connection& connection, cometspoke::OutcomeEvent outcome);
+    void ended(const Connection& connection, const CallResult& result);
 
     asio::io_context& io_;
     const Config& config_;
     std::size_t most_;
-    SendGate may_;
-    OutcomeCallback done_;
+    Callbacks callbacks_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     std::map<EndpointId, Tcp::endpoint> addresses_;
     std::map<std::pair<MessageId, std::uint32_t>, Connection> calls_;
     IdlePool idle_;  // by endpoint, and in the order of their last use
     // Of what clients and others may take, one call can always be made: it is out, idle, or kept here.
     SpareDescriptor spare_;
-    IdlePool finishing_;  // their calls have an outcome, and their answers go on
+    IdlePool finishing_;  // not for calls any more: an answer goes on, or deliveries are unconfirmed
+    StrayRecord strays_;
 };
 
 }  // namespace lockgw
--- a/src/policy/logic.cpp
+++ b/src/policy/logic.cpp
@@ -92,8 +92,9 @@
         Call& call = calls_.at(call_id);
         Endpoint& endpoint = *call.endpoint_record;
         Route& route = route_of(endpoint);
-        // each message of a call may be given a retry-after of its own: the longest applies
-        if (event.outcome == Outcome::TurnedAway)
+        // each message of a call may be given a retry-after of its own: the longest applies, also one that
+        // came with an answer which proves nothing
+        if (event.outcome == Outcome::TurnedAway || event.wait > Time(0))
             route.wait_until = std::max(route.wait_until, now + event.wait);
         if (!call.health_counted && event.outcome != Outcome::NotSent) {
             call.health_counted = true;
--- a/src/program/service.cpp
+++ b/src/program/service.cpp
@@ -18,9 +18,8 @@
     return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
                 return std::make_unique<Clients>(io, config, most, intake);
             },
-        [](auto& io, const Config& config, std::size_t most, Delivery::SendGate may,
-            Delivery::OutcomeCallback done) {
-            return std::make_unique<Targets>(io, config, most, std::move(may), std::move(done));
+        [](auto& io, const Config& config, std::size_t most, Delivery::Callbacks callbacks) {
+            return std::make_unique<Targets>(io, config, most, std::move(callbacks));
         }};
 }
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -30,6 +30,7 @@
     Terms,  ///< of a class, by a number
     Under,  ///< by which terms the entry that follows was taken on
     Wait,   ///< that a target was told
+    DeliveredUnconfirmed,
 };
 
 constexpr std::size_t kHeader = 8;           // length and checksum
@@ -46,6 +47,8 @@
 
 constexpr std::size_t kWaitSize = 64;  // of a record of a wait, with its frame, beside the target's name
 
+constexpr std::size_t kUnconfirmedSize = 24;  // of a record of an unconfirmed delivery, with its frame
+
 constexpr std::size_t kMostReserved = 1u << 20;  // entries
 
 constexpr std::size_t kLeastCompaction = 512 * 1024;  // a file is written anew from this size,
@@ -140,7 +143,8 @@
 }
 /// Of its record, or a little more, without writing it: it is asked for at every change of an entry.
 std::size_t size_of(const Entry& entry) {
-    constexpr std::size_t fixed = 160 + kUnderSize;  // all numbers, times and lengths of texts
+    constexpr std::size_t fixed =
+        160 + kUnderSize + kUnconfirmedSize;  // all numbers, times and lengths of texts
     const Message& message = entry.message;
     return fixed + message.message_class.size() + message.tenant.size() + message.key.size() +
            message.body.size() + (entry.doubt ? entry.doubt->target.size() : 0) +
@@ -170,6 +174,8 @@
     return entry;
 }
 
+std::string unconfirmed_record(MessageId id) { return Writer(Kind::DeliveredUnconfirmed).number(id).bytes(); }
+
 std::string terms_record(std::uint32_t number, const cometspoke::ClassSettings& terms) {
     Writer writer(Kind::Terms);
     writer.number<MessageId>(0).number(number);
@@ -316,7 +322,7 @@
                 entry.message.terms = terms->second;
         if (entries_.contains(id)) return false;
         live_ += cost(entry);
-        if (!entry.notice) ++unended_;
+        if (entry.owed()) ++unended_;
         in_order_.push_back(entries_.emplace(id, std::move(entry)).first->second);
         return true;
     }
@@ -324,7 +330,9 @@
     if (found == entries_.end()) return true;
     Entry& entry = found->second;
     live_ -= cost(entry);
+    if (entry.owed()) --unended_;
     if (kind == Kind::Begun) {
+        entry.unconfirmed = false;
         entry.doubt = entry.may_have_run();
         const Moment since = reader.wall();
         entry.out = BegunAttempt{since, reader.text()};
@@ -335,16 +343,20 @@
     } else if (kind == Kind::MayHaveRun) {
         entry.doubt = entry.may_have_run();
         entry.out.reset();
+    } else if (kind == Kind::DeliveredUnconfirmed) {
+        entry.unconfirmed = true;
+        entry.doubt = entry.may_have_run();
+        entry.out.reset();
     } else if (kind == Kind::Ended) {
-        if (!entry.notice) --unended_;
+        entry.unconfirmed = false;
         entry.notice = read_notice(reader);
         std::string().swap(entry.message.body);
     } else {
-        if (!entry.notice) --unended_;
         entries_.erase(found);
         return true;
     }
     live_ += cost(entry);
+    if (entry.owed()) ++unended_;
     return true;
 } catch (const std::out_of_range&) {
     return false;
@@ -397,6 +409,17 @@
     write(Writer(never_ran ? Kind::NeverRan : Kind::MayHaveRun).number(id).bytes());
 }
 void Journal::delivered(MessageId id) { write(Writer(Kind::Delivered).number(id).bytes()); }
+void Journal::delivered_unconfirmed(MessageId id) { write(unconfirmed_record(id)); }
+bool Journal::reopen(MessageId id) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || !found->second.unconfirmed) return false;
+    found->second.unconfirmed = false;
+    ++unended_;
+    return true;
+}
+bool Journal::has_spare_room() const {
+    return 2 * live_ < static_cast<std::size_t>(kLiveShare * static_cast<double>(most_));
+}
 void Journal::confirmed(MessageId id) { write(Writer(Kind::Confirmed).number(id).bytes()); }
 void Journal::end(MessageId id, FinalStatus notice) {
     Writer writer(Kind::Ended);
@@ -486,6 +509,7 @@
         if (const auto found = numbers.find(entry.message.terms.get()); found != numbers.end())
             bytes += framed(under_record(entry.message.id, found->second));
         bytes += framed(record_of(entry));
+        if (entry.unconfirmed) bytes += framed(unconfirmed_record(entry.message.id));
     }
     if (in_blocks(size_) + in_blocks(bytes.size()) > most_) return false;
     const auto fresh = folder_ / "journal.new";
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -189,9 +189,10 @@
     Tcp::acceptor listener(io, {asio::ip::address_v4::loopback(), 0});
     Config config = read_config(make_config("127.0.0.1:1", "127.0.0.1:1"));
     std::vector<cometspoke::OutcomeEvent> outcomes;
-    Targets targets(
-        io, config, 8, [](const Call&, const Tcp::endpoint&) { return true; },
-        [&](const cometspoke::OutcomeEvent& event) { outcomes.push_back(event); });
+    Targets targets(io, config, 8,
+        {[](const Call&, const Tcp::endpoint&) { return true; },
+            [&](const CallResult& result) { outcomes.push_back(result.event); },
+            [](const std::vector<MessageId>&, Confirmation) {}});
     targets.set_address(1, listener.local_endpoint());
     Call call;
     call.message = 5, call.endpoint = 1, call.body = "BODY", call.time_out = 30ms;
--- a/tests/stray_answer_test.cpp
+++ b/tests/stray_answer_test.cpp
@@ -10,6 +10,7 @@
 constexpr auto kBetween = 60ms;       // from a copy to the call's own answer
 constexpr auto kRested = 1300ms;      // after which a kept connection may carry a call of any class
 constexpr auto kNoMoreCalls = 400ms;  // several first backoffs of a refused message
+constexpr auto kReported = 5s;        // until a final status must have been reported
 const std::string kOk = "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n";
 const std::string kRefusal = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
 
@@ -39,6 +40,18 @@
         answer(call, own);
     }
 
+    /// The first final status that is reported; null where none comes in time.
+    Json reported() {
+        const auto until = Clock::now() + kReported;
+        while (Clock::now() < until) {
+            if (agent.no_request_within(kBetween)) continue;
+            const Exchange request = agent.next();
+            if (request.request.target() == "/reports") return final_statuses(request)[0];
+            watches.push_back(request);
+        }
+        return nullptr;
+    }
+
     std::unique_ptr<Client> client;
     std::map<int, std::set<std::string>> carried;  // by connection
     int ids = 10;
@@ -62,5 +75,94 @@
     }
 }
 
+// A copy of a 200 says that a call was delivered which in truth was refused: the message must not end in
+// silence.
+class LostMessage : public StrayAnswer, public ::testing::WithParamInterface<const char*> {};
+TEST_P(LostMessage, ACopyOfADeliveryEndsNoMessageThatWasRefused) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    const std::string id = next_id();
+    ASSERT_EQ(enqueue(*client, id, GetParam()), "+OK");
+    const Exchange call = target.next();
+    ASSERT_EQ(call.header("X-Call-Id"), id);
+    ASSERT_TRUE(carried[call.connection].contains(kOk)) << "the order is not forced";
+    answer_behind_copy(call, kOk, kRefusal);
+    if (std::string(GetParam()) == "unsafe")
+        EXPECT_EQ(reported(), (Json{{"ref", id}, {"result", "dead"}}));
+    else
+        EXPECT_EQ(target.next().header("X-Call-Id"), id);
+}
+INSTANTIATE_TEST_SUITE_P(StrayAnswer, LostMessage, ::testing::Values("safe", "keyed", "unsafe"));
+
+// Once a copy was taken for an answer, that call's own answer comes behind the next call: it proves nothing
+// about that one, and it is not forgotten either.
+TEST_F(StrayAnswer, AnAnswerInWhosePlaceACopyCameIsNotTheNextCalls) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    const std::string refused = next_id(), ran = next_id();
+    ASSERT_EQ(enqueue(*client, refused), "+OK");
+    ASSERT_EQ(enqueue(*client, ran, "unsafe"), "+OK");
+    const Exchange first = target.next();
+    ASSERT_EQ(first.header("X-Call-Id"), refused);
+    ASSERT_TRUE(carried[first.connection].contains(kOk)) << "the order is not forced";
+    first.write(kOk);
+    const Exchange second = target.next();
+    ASSERT_EQ(second.header("X-Call-Id"), ran);
+    first.push(kRefusal);
+    std::this_thread::sleep_for(kBetween);
+    second.write(kOk);
+    const Exchange third = target.next();
+    EXPECT_EQ(third.header("X-Call-Id"), refused)
+        << "the refused message ended in silence, or the other ran twice";
+    third.write(kOk);
+    EXPECT_TRUE(target.no_request_within(kNoMoreCalls));
+}
+
+// A target that has sent one copy sends more: each of its connections carries one call.
+TEST_F(StrayAnswer, ATargetThatSendsCopiesGetsOneCallAConnection) {
+    start();
+    ASSERT_EQ(enqueue(*client, next_id()), "+OK");
+    const Exchange call = target.next();
+    call.write(kOk + kOk);
+    EXPECT_TRUE(target.no_request_within(50ms));
+    std::set<int> connections{call.connection};
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_EQ(enqueue(*client, next_id()), "+OK");
+        const Exchange next = target.next();
+        EXPECT_TRUE(connections.insert(next.connection).second);
+        next.write(kOk);
+    }
+    EXPECT_TRUE(node.logs("more answers than calls"));
+}
+
+// The process dies before a delivery is confirmed: the next one reports its final status and calls nobody.
+TEST_F(StrayAnswer, AnUnconfirmedDeliveryIsReportedAfterAKill) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    const std::string id = next_id();
+    ASSERT_EQ(enqueue(*client, id, "unsafe"), "+OK");
+    const Exchange call = target.next();
+    ASSERT_TRUE(carried[call.connection].contains(kOk)) << "the order is not forced";
+    call.write(kOk);
+    std::this_thread::sleep_for(kBetween);
+    node.kill(), node.wait();
+    node.start();
+    EXPECT_EQ(reported(), (Json{{"ref", id}, {"result", "dead"}}));
+    EXPECT_TRUE(target.no_request_within(kNoMoreCalls));
+}
+
+// And one that has rested is confirmed: nothing is reported of it, ever.
+TEST_F(StrayAnswer, ADeliveryIsConfirmedOnceItsConnectionHasRested) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    ASSERT_EQ(enqueue(*client, next_id(), "unsafe"), "+OK");
+    answer(target.next(), kOk);
+    std::this_thread::sleep_for(kRested);
+    node.kill(), node.wait();
+    node.start_ready();
+    EXPECT_TRUE(no_report_within(kNoMoreCalls));
+    EXPECT_TRUE(target.no_request_within(0ms));
+}
+
 }  // namespace
 }  // namespace lockgw
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -162,8 +162,10 @@
     Config config;
     bool open = true;
     std::map<MessageId, Outcome> outcomes;
-    Targets targets{io, config, 8, [this](const Call&, const Tcp::endpoint&) { return open; },
-        [this](const cometspoke::OutcomeEvent& event) { outcomes[event.message] = event.outcome; }};
+    Targets targets{io, config, 8,
+        {[this](const Call&, const Tcp::endpoint&) { return open; },
+            [this](const CallResult& result) { outcomes[result.event.message] = result.event.outcome; },
+            [](const std::vector<MessageId>&, Confirmation) {}}};
 };
 
 TEST_F(GateTest, StopsACallOnANewConnectionAndOnAKeptOne) {
