Discovery: each request to the agent goes over a connection of its own

Cause: the connection was kept between requests with neither a watch nor a look, and what came first was the next request's answer.

Change: AgentConnection carries one request and is closed after its answer; the first answer on a connection has no earlier one that could be copied.

--- a/src/discovery/agent_connection.cpp
+++ b/src/discovery/agent_connection.cpp
@@ -17,8 +17,6 @@
 void AgentConnection::send_request(
     http::verb verb, const std::string& path, std::string body, OnPhase on_phase, OnAnswer on_answer) {
     ++generation_;
-    reusable_ = answer_started_ = false;
-    interim_answers_ = 0;
     on_phase_ = std::move(on_phase);
     on_answer_ = std::move(on_answer);
     request_ = {verb, path, 11, std::move(body)};
@@ -26,7 +24,7 @@
     request_.prepare_payload();
     parser_.emplace();
     parser_->body_limit(max_bytes_);
-    socket_.is_open() ? write() : connect();
+    connect();
 }
 
 void AgentConnection::connect() {
@@ -70,8 +68,7 @@
     Answer answer{parser_->get().result_int(), std::move(parser_->get().body()), "", false};
     answer.status_ok = answer.status == 200;
     ++generation_;
-    reusable_ = parser_->get().keep_alive() && buffer_.size() == 0;
-    if (!reusable_) close();
+    close();
     std::exchange(on_answer_, nullptr)(std::move(answer));
 }
 
@@ -107,7 +104,6 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     buffer_.clear();
-    reusable_ = false;
 }
 
 }  // namespace lockgw
--- a/src/discovery/agent_connection.hpp
+++ b/src/discovery/agent_connection.hpp
@@ -1,10 +1,13 @@
-/// HTTP client connection to the discovery agent. Sends one request at a time and keeps the connection open
-/// for the next one.
+/// HTTP client connection to the discovery agent, for one request.
+///
+/// It is closed after the answer. A second copy of an earlier answer, which is paired with a request by
+/// nothing but its order on the connection, could otherwise acknowledge reports that the agent has not read,
+/// or bring back an older list.
 ///
 /// The class sets no time limits: the caller follows the phases of a request and cancels it when it takes too
 /// long. Sizes are bounded: 8 KiB for the header (the default of Boost.Beast), `max_bytes` for the body, and
 /// kMaxInterimAnswers 1xx answers before the final one. Pending handlers keep the connection alive; a handler
-/// that belongs to an earlier request does nothing.
+/// that comes after the end of the request does nothing.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -38,7 +41,7 @@
         SpareDescriptor& spare, std::size_t max_bytes)
         : address_(address), socket_(io), spare_(spare), max_bytes_(max_bytes) {}
 
-    /// Sends a request, connecting first if necessary. `on_phase` is called when the request enters a new
+    /// Connects and sends the request; called once. `on_phase` is called when the request enters a new
     /// phase. `on_answer` is called exactly once unless the request is cancelled, and never from within this
     /// call.
     void send_request(boost::beast::http::verb verb, const std::string& path, std::string body,
@@ -48,8 +51,6 @@
     Answer cancel();
     /// The part of the answer to the current request that was received so far. The request continues.
     Answer partial_answer() const;
-    /// True if the connection can carry another request after the last answer.
-    bool reusable() const { return reusable_; }
 
 private:
     template <class Handler>
@@ -71,8 +72,8 @@
     boost::asio::ip::tcp::socket socket_;
     SpareDescriptor& spare_;
     std::size_t max_bytes_;
-    std::uint64_t generation_ = 0;  // changes when a request starts or ends; invalidates pending handlers
-    bool reusable_ = false, answer_started_ = false;
+    std::uint64_t generation_ = 0;  // changes when the request starts or ends; invalidates pending handlers
+    bool answer_started_ = false;
     int interim_answers_ = 0;
     boost::beast::flat_buffer buffer_;
     boost::beast::http::request<boost::beast::http::string_body> request_;
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -31,8 +31,6 @@
     schedule_.reset();
     for (const auto& [request, connection] : in_flight_) connection->cancel();
     in_flight_.clear();
-    if (idle_connection_) idle_connection_->cancel();
-    idle_connection_.reset();
 }
 
 void Poller::set_enabled(bool enabled) {
@@ -68,9 +66,7 @@
 }
 
 void Poller::start_request(std::uint64_t request) {
-    Connection connection = std::exchange(idle_connection_, nullptr);
-    if (!connection)
-        connection = std::make_shared<AgentConnection>(io_, address_, spare_descriptor_, max_bytes_);
+    const auto connection = std::make_shared<AgentConnection>(io_, address_, spare_descriptor_, max_bytes_);
     in_flight_.emplace(request, connection);
     Request content = make_request_(request);
     schedule_.set_hold(request, content.hold);
@@ -84,8 +80,7 @@
 }
 
 void Poller::handle_answer(std::uint64_t request, const AgentConnection::Answer& answer) {
-    const Connection connection = std::move(in_flight_.extract(request).mapped());
-    if (connection->reusable() && !idle_connection_) idle_connection_ = connection;
+    in_flight_.erase(request);
     const Verdict verdict = evaluate(request, answer);
     if (verdict == Verdict::Overloaded) return finish(request, PollSchedule::Result::Overloaded);
     if (verdict != Verdict::Pending) return finish_processing(request, verdict == Verdict::Accepted);
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -1,5 +1,5 @@
-/// Carries out a PollSchedule: sends requests to an agent over one connection, or over two while the first
-/// request is overdue.
+/// Carries out a PollSchedule: sends requests to an agent, each over a connection of its own; a second one
+/// while the first is overdue.
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
@@ -75,7 +75,6 @@
     OnPartialAnswer on_partial_answer_;
     boost::asio::steady_timer timer_;
     std::map<std::uint64_t, Connection> in_flight_;
-    Connection idle_connection_;
     bool has_agent_ = false;
 };
 
--- a/tests/stray_answer_test.cpp
+++ b/tests/stray_answer_test.cpp
@@ -164,5 +164,41 @@
     EXPECT_TRUE(target.no_request_within(0ms));
 }
 
+// ---- the discovery agent ----
+
+// A second copy of an acknowledgement that crosses the next report: what the agent has not read is reported
+// again.
+TEST_F(StrayAnswer, ACopyOfAnAcknowledgementAcknowledgesNoOtherReport) {
+    node.start_ready();
+    Client client = node.client();
+    const std::string acknowledged = "HTTP/1.1 204 X\r\n\r\n";
+    const std::string first_id = next_id(), second_id = next_id();
+    ASSERT_EQ(enqueue(client, first_id, "safe", 50, "BODY", 99), "+OK");
+    const Exchange first = agent_request("/reports");
+    first.write(acknowledged);
+    ASSERT_EQ(enqueue(client, second_id, "safe", 50, "BODY", 99), "+OK");
+    const Exchange second = agent_request("/reports");
+    if (second.connection == first.connection) second.push(acknowledged);
+    std::this_thread::sleep_for(kBetween);
+    second.hang_up();  // its process died: it has not read the report
+    EXPECT_EQ(reported(), (Json{{"ref", second_id}, {"result", "dead"}}));
+}
+
+// A second copy of an older list that crosses the next poll brings no drained target back.
+TEST_F(StrayAnswer, ACopyOfAnOlderListBringsNoDrainedTargetBack) {
+    node.start_ready();
+    const Json old_list = target_list(2, true, {member("s-1", target.address(), 7)});
+    const Exchange first = agent_request("/v1/servers");
+    respond_json(first, old_list);
+    const Exchange watch = agent_request("/v1/servers?from=2");
+    respond_json(watch, target_list(3, false, {member("s-1", target.address(), 7, "terminating")}));
+    const Exchange next = agent_request("/v1/servers?from=3");
+    if (next.connection == first.connection) respond_json(next, old_list);
+    std::this_thread::sleep_for(kBetween);
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, next_id(), "safe", 1000), "+OK");
+    EXPECT_TRUE(target.no_request_within(kNoMoreCalls));
+}
+
 }  // namespace
 }  // namespace lockgw
