Tests: a kept connection is reused at once by messages that may be repeated freely only

Cause: NodeTest.DeliversBodiesUnchangedAndReusesTheConnection asked that a keyed call reuse a connection that has just brought an answer. The old check was wrong for that class.

Change: it asks the same of the class that may be repeated freely, and AKeyedMessageUsesNoConnectionThatHasNotRested asks the opposite of the keyed one. The enum of certainty gets a name that tests/old_names.cmake does not refuse.

--- a/src/deliveries/http/connection_history.cpp
+++ b/src/deliveries/http/connection_history.cpp
@@ -9,10 +9,10 @@
 
 bool ConnectionHistory::rested(Time now) const { return answers_ == 0 || now - last_answer_at_ >= kRestTime; }
 
-Belief ConnectionHistory::judge(bool delivered, bool may_be_copy) const {
-    if (answers_ == 0) return Belief::Certain;
-    if (rested_before_call_ && !may_be_copy) return Belief::Certain;
-    return delivered ? Belief::Unconfirmed : Belief::Doubtful;
+Certainty ConnectionHistory::judge(bool delivered, bool may_be_copy) const {
+    if (answers_ == 0) return Certainty::Certain;
+    if (rested_before_call_ && !may_be_copy) return Certainty::Certain;
+    return delivered ? Certainty::Unconfirmed : Certainty::Doubtful;
 }
 
 }  // namespace lockgw
--- a/src/deliveries/http/connection_history.hpp
+++ b/src/deliveries/http/connection_history.hpp
@@ -20,7 +20,7 @@
 namespace lockgw {
 
 /// How sure it is that an answer belongs to the call behind which it was read.
-enum class Belief {
+enum class Certainty {
     Certain,
     Unconfirmed,  ///< a delivery that may be a copy of an earlier one
     Doubtful,     ///< may be the answer of an earlier call: proves nothing about this one
@@ -41,7 +41,7 @@
 
     /// What the answer to the present call proves. `delivered`: it says 200. `may_be_copy`: an earlier answer
     /// of the connection may have said the same.
-    Belief judge(bool delivered, bool may_be_copy) const;
+    Certainty judge(bool delivered, bool may_be_copy) const;
     /// A delivery that was told as unconfirmed.
     void add_unconfirmed(cometspoke::MessageId message) { unconfirmed_.push_back(message); }
     /// The last byte of an answer was read.
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -180,27 +180,27 @@
     return answer_.outcome(owner_.config_.reports, longest_wait(owner_.config_));
 }
 /// Remembers the message if its delivery is unconfirmed.
-Belief TargetConnection::judge(const Call& call, const OutcomeEvent& event) {
+Certainty TargetConnection::judge(const Call& call, const OutcomeEvent& event) {
     const bool delivered = event.outcome == Outcome::Served;
     const bool may_be_copy = delivered && answer_.keep_alive();
-    const Belief belief = history_.judge(delivered, may_be_copy);
-    if (belief == Belief::Unconfirmed) history_.add_unconfirmed(call.message);
-    return belief;
+    const Certainty certainty = history_.judge(delivered, may_be_copy);
+    if (certainty == Certainty::Unconfirmed) history_.add_unconfirmed(call.message);
+    return certainty;
 }
 void TargetConnection::finish() {
     const auto self = shared_from_this();
     const auto call = std::exchange(call_, std::nullopt);
     const OutcomeEvent told = outcome();
-    const Belief belief = call ? judge(*call, told) : Belief::Certain;
+    const Certainty certainty = call ? judge(*call, told) : Certainty::Certain;
     const bool kept = answer_.reusable() && told.outcome == Outcome::Served;
     const std::string surplus = answer_.take_rest();
     history_.end_answer(Clock::now());
     // first: the decision on this outcome may want the connection
-    if (belief == Belief::Doubtful)
+    if (certainty == Certainty::Doubtful)
         owner_.gone(self);  // gives the call up: it may still be out
     else
         kept ? owner_.now_idle(self) : owner_.retire(self);
-    if (call) report(*call, told, belief);
+    if (call) report(*call, told, certainty);
     if (!surplus.empty()) take_surplus(surplus);
 }
 /// Nothing more is read: what has come so far decides. A first line of 200 is true by itself, if it is the
@@ -212,16 +212,16 @@
     event.outcome = otherwise;
     const bool delivered = written_ && answer_.says_delivered();
     if (delivered) event.outcome = Outcome::Served, event.terminal = true;
-    if (call) report(*call, event, delivered ? judge(*call, event) : Belief::Certain);
+    if (call) report(*call, event, delivered ? judge(*call, event) : Certainty::Certain);
     owner_.gone(self);
 }
-void TargetConnection::report(const Call& call, OutcomeEvent event, Belief belief) {
-    if (belief == Belief::Doubtful) event = without_proof(event, call.repeatable);
+void TargetConnection::report(const Call& call, OutcomeEvent event, Certainty certainty) {
+    if (certainty == Certainty::Doubtful) event = without_proof(event, call.repeatable);
     event.message = call.message;
     event.endpoint = call.endpoint;
     event.attempt = call.attempt;
     event.rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
-    owner_.ended(shared_from_this(), {event, belief == Belief::Unconfirmed});
+    owner_.ended(shared_from_this(), {event, certainty == Certainty::Unconfirmed});
 }
 
 // ---- between calls ----
--- a/src/deliveries/http/target_connection.hpp
+++ b/src/deliveries/http/target_connection.hpp
@@ -77,8 +77,8 @@
     void ended();
     void finish();
     void end(cometspoke::Outcome otherwise);
-    Belief judge(const Call& call, const cometspoke::OutcomeEvent& event);
-    void report(const Call& call, cometspoke::OutcomeEvent event, Belief belief);
+    Certainty judge(const Call& call, const cometspoke::OutcomeEvent& event);
+    void report(const Call& call, cometspoke::OutcomeEvent event, Certainty certainty);
     void begin_rest(Rest rest, Clock::duration span);
     void watch();
     void wait_for_silence();
--- a/tests/connection_history_test.cpp
+++ b/tests/connection_history_test.cpp
@@ -24,25 +24,25 @@
 TEST(ConnectionHistoryTest, TheFirstAnswerIsItsCallsOwn) {
     ConnectionHistory history;
     history.begin_call(kStart);
-    EXPECT_EQ(history.judge(true, true), Belief::Certain);
-    EXPECT_EQ(history.judge(false, false), Belief::Certain);
+    EXPECT_EQ(history.judge(true, true), Certainty::Certain);
+    EXPECT_EQ(history.judge(false, false), Certainty::Certain);
 }
 TEST(ConnectionHistoryTest, ALaterDeliveryMayBeACopyHoweverLongTheConnectionHasRested) {
     ConnectionHistory history = used_once();
     history.begin_call(kStart + std::chrono::hours(1));
-    EXPECT_EQ(history.judge(true, true), Belief::Unconfirmed);
+    EXPECT_EQ(history.judge(true, true), Certainty::Unconfirmed);
 }
 TEST(ConnectionHistoryTest, AfterARestARefusalOrADeliveryThatNoEarlierAnswerEqualsIsCertain) {
     ConnectionHistory history = used_once();
     history.begin_call(kStart + ConnectionHistory::kRestTime);
-    EXPECT_EQ(history.judge(false, false), Belief::Certain);
-    EXPECT_EQ(history.judge(true, false), Belief::Certain);
+    EXPECT_EQ(history.judge(false, false), Certainty::Certain);
+    EXPECT_EQ(history.judge(true, false), Certainty::Certain);
 }
 TEST(ConnectionHistoryTest, WithoutARestARefusalMayBeAnEarlierCalls) {
     ConnectionHistory history = used_once();
     history.begin_call(kStart + ConnectionHistory::kRestTime - 1ms);
-    EXPECT_EQ(history.judge(false, false), Belief::Doubtful);
-    EXPECT_EQ(history.judge(true, false), Belief::Unconfirmed);
+    EXPECT_EQ(history.judge(false, false), Certainty::Doubtful);
+    EXPECT_EQ(history.judge(true, false), Certainty::Unconfirmed);
 }
 TEST(ConnectionHistoryTest, OnlyFreelyRepeatableMessagesGoOverAConnectionThatHasNotRested) {
     ConnectionHistory history;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -96,7 +96,7 @@
     // both messages are accepted before the first answer: a connection with no waiting call is closed
     const std::vector<std::string> ids{id, "00000000000000aa"};
     for (const std::string& message_id : ids)
-        ASSERT_EQ(enqueue(client, message_id, "keyed", 30000, body), "+OK");
+        ASSERT_EQ(enqueue(client, message_id, "safe", 30000, body), "+OK");
     for (const std::string& message_id : ids) {
         const Exchange call = target.next();
         EXPECT_EQ(call.request.method(), http::verb::post);
@@ -111,6 +111,23 @@
     EXPECT_EQ(target.connections(), 1);
 }
 
+// A keyed message goes over no connection that has just brought an answer: a refusal there might be the
+// answer of the call before (docs/answer-pairing.md).
+TEST_F(NodeTest, AKeyedMessageUsesNoConnectionThatHasNotRested) {
+    node.config()["settings"]["family_info"]["slots"] = 1;
+    node.start_ready();
+    Client client = node.client();
+    const std::vector<std::string> ids{id, "00000000000000aa"};
+    for (const std::string& message_id : ids) ASSERT_EQ(enqueue(client, message_id, "keyed"), "+OK");
+    for (const std::string& message_id : ids) {
+        const Exchange call = target.next();
+        EXPECT_EQ(call.header("X-Call-Id"), message_id);
+        EXPECT_EQ(call.header("Idempotency-Key"), "5c0f6e1a2b3d4c59");
+        call.answer(200);
+    }
+    EXPECT_EQ(target.connections(), 2);
+}
+
 TEST_F(NodeTest, AnswersPipelinedRequestsInOrder) {
     node.start_ready();
     Client client = node.client();
