Targets: only an unconfirmed delivery makes a connection rest before its next call

Cause: every answer made a connection rest for 1 s before it carried a keyed or unsafe call, although behind answers that were certain no earlier call's answer can be outstanding.

Change: ConnectionHistory::rested asks for silence only behind unconfirmed deliveries.

--- a/src/deliveries/http/connection_history.hpp
+++ b/src/deliveries/http/connection_history.hpp
@@ -5,8 +5,9 @@
 /// docs/answer-pairing.md has the whole table. The rules:
 /// - The first answer on a connection is its call's own: nothing came before it that could be copied.
 /// - A connection is reused only after answers of 200. A copy on it says 200, so any other answer is no copy.
-/// - An answer that is no copy may still belong to an earlier call, in whose place a copy was read. It comes
-///   while the connection rests; after kRestTime of silence none is outstanding.
+/// - An answer that is no copy may still belong to an earlier call with an unconfirmed delivery, in whose
+/// place
+///   a copy was read. It comes while the connection rests; after kRestTime of silence none is outstanding.
 /// - A 200 behind earlier answers may be a copy. It is unconfirmed until the connection has rested.
 #pragma once
 
@@ -35,7 +36,8 @@
     /// Whether a call may be written now. Only a message that may be repeated freely goes over a connection
     /// that has not rested, since a refusal proves nothing there.
     bool may_carry(bool repeatable, Time now) const;
-    /// No answer has come for kRestTime, or none ever.
+    /// No answer to an earlier call is outstanding: all that was read was certain, or none has come for
+    /// kRestTime.
     bool rested(Time now) const;
     void begin_call(Time now) { rested_before_call_ = rested(now); }
 
--- a/tests/connection_history_test.cpp
+++ b/tests/connection_history_test.cpp
@@ -21,6 +21,15 @@
     return history;
 }
 
+/// And a second one at the same time, whose delivery is unconfirmed.
+ConnectionHistory used_twice() {
+    ConnectionHistory history = used_once();
+    history.begin_call(kStart);
+    history.add_unconfirmed(7);
+    history.end_answer(kStart);
+    return history;
+}
+
 TEST(ConnectionHistoryTest, TheFirstAnswerIsItsCallsOwn) {
     ConnectionHistory history;
     history.begin_call(kStart);
@@ -33,13 +42,13 @@
     EXPECT_EQ(history.judge(true, true), Certainty::Unconfirmed);
 }
 TEST(ConnectionHistoryTest, AfterARestARefusalOrADeliveryThatNoEarlierAnswerEqualsIsCertain) {
-    ConnectionHistory history = used_once();
+    ConnectionHistory history = used_twice();
     history.begin_call(kStart + ConnectionHistory::kRestTime);
     EXPECT_EQ(history.judge(false, false), Certainty::Certain);
     EXPECT_EQ(history.judge(true, false), Certainty::Certain);
 }
 TEST(ConnectionHistoryTest, WithoutARestARefusalMayBeAnEarlierCalls) {
-    ConnectionHistory history = used_once();
+    ConnectionHistory history = used_twice();
     history.begin_call(kStart + ConnectionHistory::kRestTime - 1ms);
     EXPECT_EQ(history.judge(false, false), Certainty::Doubtful);
     EXPECT_EQ(history.judge(true, false), Certainty::Unconfirmed);
@@ -48,10 +57,17 @@
     ConnectionHistory history;
     EXPECT_TRUE(history.may_carry(false, kStart)) << "a new one";
     history = used_once();
+    EXPECT_TRUE(history.may_carry(false, kStart)) << "its answer was certain";
+    history = used_twice();
     EXPECT_FALSE(history.may_carry(false, kStart + 999ms));
     EXPECT_TRUE(history.may_carry(true, kStart + 999ms));
     EXPECT_TRUE(history.may_carry(false, kStart + 1000ms));
 }
+TEST(ConnectionHistoryTest, BehindCertainAnswersARefusalIsCertainAtOnce) {
+    ConnectionHistory history = used_once();
+    history.begin_call(kStart);
+    EXPECT_EQ(history.judge(false, false), Certainty::Certain);
+}
 TEST(ConnectionHistoryTest, UnconfirmedDeliveriesAreBounded) {
     ConnectionHistory history = used_once();
     for (std::size_t i = 0; i < ConnectionHistory::kMostUnconfirmed; ++i) {
