lockgw-soak: a target serves the calls of one connection one after another

Cause: the stand-in dropped a call that was still being served when the next one came on its connection, as it does once a copy was taken for an answer.

Change: calls wait for the one before; a connection that ends gives all of them up.

--- a/rig/soak/faulty_target.cpp
+++ b/rig/soak/faulty_target.cpp
@@ -66,8 +66,15 @@
         call_.reset();
         ++turn_;
     }
-    void peer_closed() {
+    void give_up_all() {
         end_call(0);
+        for (; !waiting_.empty(); waiting_.pop_front()) {
+            call_ = waiting_.front();
+            end_call(0);
+        }
+    }
+    void peer_closed() {
+        give_up_all();
         boost::system::error_code ignored;
         socket_.close(ignored);
     }
@@ -80,12 +87,16 @@
         if (!parser_->is_done()) return;
         const std::string id(parser_->get()["X-Call-Id"]);
         parser_.emplace();
-        begin_call(id);
-    }
-    void begin_call(const std::string& id) {
         auto& calls = target_.observations_.messages[id].calls;
         calls.push_back({target_.number_, number_, Clock::now(), std::nullopt, 0});
-        call_ = {id, calls.size() - 1};
+        waiting_.emplace_back(id, calls.size() - 1);
+        begin_next();
+    }
+    /// Calls on one connection are served one after another, also where the client has not waited.
+    void begin_next() {
+        if (call_ || waiting_.empty()) return;
+        call_ = waiting_.front();
+        waiting_.pop_front();
         const bool refuse = chance(target_.faults_.refused);
         const bool reset = chance(target_.faults_.reset);
         const Milliseconds service = refuse ? Milliseconds(1) : up_to(target_.faults_.service);
@@ -95,7 +106,7 @@
         });
     }
     void reset() {
-        end_call(0);
+        give_up_all();
         boost::system::error_code ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
@@ -103,6 +114,7 @@
     void answer(int status) {
         end_call(status);
         send(answer_of(status));
+        begin_next();
         if (!chance(target_.faults_.copied)) return;
         later(up_to(target_.faults_.copy_lag), [self = shared_from_this(), status] {
             if (!self->socket_.is_open()) return;
@@ -124,8 +136,10 @@
     std::array<char, 4096> in_{};
     std::optional<Parser> parser_;
     std::string unread_;
-    std::optional<std::pair<std::string, std::size_t>> call_;  // message, and the index of its call
-    std::uint64_t turn_ = 0;                                   // changes when a call ends
+    using CallIndex = std::pair<std::string, std::size_t>;  // message, and the number of its call
+    std::optional<CallIndex> call_;
+    std::deque<CallIndex> waiting_;
+    std::uint64_t turn_ = 0;  // changes when a call ends
 };
 
 FaultyTarget::FaultyTarget(asio::io_context& io, std::size_t number, const LinkFaults& faults,
