Targets: a delivery over a connection closed for want of descriptors is believed

That is not noise: with one descriptor left the next call needs the connection whose last delivery is unconfirmed, which was closed and then reported.

Change: such a delivery is believed, which docs/answer-pairing.md names among the beliefs.

--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -153,7 +153,11 @@
 bool Targets::drop_one() {
     const IdlePool& from = idle_.empty() ? finishing_ : idle_;
     if (from.empty()) return false;
-    drop(from.oldest());
+    const Connection connection = from.oldest();
+    // other calls cannot wait until it has rested
+    if (auto& history = connection->history(); history.has_unconfirmed())
+        settled(history.take_unconfirmed(), Confirmation::Confirmed);
+    drop(connection);
     return true;
 }
 /// For somebody else: not the one that the next call needs.
