--- a/src/deliveries/http/answer_meaning.cpp
+++ b/src/deliveries/http/answer_meaning.cpp
@@ -39,7 +39,7 @@
     if (answer.kind == AnswerKind::Delivered)
         return {Outcome::Served, certainty == Certainty::Certain ? Fate::Over : Fate::OverIfConfirmed};
     if (answer.kind == AnswerKind::None) return {otherwise, Fate::Open};
-    if (!answer.whole) return {otherwise, Fate::Open};
+    if (!answer.whole) return {otherwise, forbids_another_call(answer.kind) ? Fate::StatusOwed : Fate::Open};
     if (certainty == Certainty::Certain) return proved(answer.kind);
     // the call is given up, and its own answer may never be read
     if (forbids_another_call(answer.kind)) return {Outcome::CalledOff, Fate::StatusOwed};
--- a/tests/answer_meaning_test.cpp
+++ b/tests/answer_meaning_test.cpp
@@ -48,6 +48,14 @@
     for (const Kind kind : {Kind::RetryAfter, Kind::Refused, Kind::SlotsTaken, Kind::Error})
         expect_end({kind, true}, Certainty::Doubtful, false, Outcome::CalledOff, Fate::Open);
 }
+TEST(AnswerMeaningTest, AnAnswerThatBreaksOffProvesNothingButForbidsWhatItsFirstLineForbids) {
+    for (const Certainty certainty : {Certainty::Certain, Certainty::Doubtful}) {
+        for (const Kind kind : {Kind::Over, Kind::AttemptsUsed})
+            expect_end({kind, false}, certainty, kOtherwise, Fate::StatusOwed);
+        for (const Kind kind : {Kind::None, Kind::RetryAfter, Kind::Refused, Kind::SlotsTaken, Kind::Error})
+            expect_end({kind, false}, certainty, kOtherwise, Fate::Open);
+    }
+}
 TEST(AnswerMeaningTest, AnUnconfirmedDeliveryIsNeverCalledAgain) {
     EXPECT_EQ(fate_after(Settlement::Confirmed), Fate::Over);
     for (const auto settlement :
