Targets: a message that has had all its attempts ends with its final status

A 504 says that the message has had all its attempts and that its end is still owed. It was taken for a call that was not sent, so the message was called again until its time was up.

--- a/src/deliveries/http/answer_meaning.cpp
+++ b/src/deliveries/http/answer_meaning.cpp
@@ -17,7 +17,7 @@
         case AnswerKind::SlotsTaken:
             return {Outcome::NotSent, Fate::Open};
         case AnswerKind::AttemptsUsed:
-            return {Outcome::NotSent, Fate::Open};
+            return {Outcome::NotSent, Fate::StatusOwed};
         case AnswerKind::Over:
             return {Outcome::NotSent, Fate::Over};
         case AnswerKind::Error:
--- a/tests/answer_meaning_test.cpp
+++ b/tests/answer_meaning_test.cpp
@@ -29,6 +29,7 @@
     expect_end({Kind::RetryAfter, true}, Certainty::Certain, Outcome::TurnedAway, Fate::Open);
     expect_end({Kind::Refused, true}, Certainty::Certain, Outcome::TurnedAway, Fate::Open);
     expect_end({Kind::SlotsTaken, true}, Certainty::Certain, Outcome::NotSent, Fate::Open);
+    expect_end({Kind::AttemptsUsed, true}, Certainty::Certain, Outcome::NotSent, Fate::StatusOwed);
     expect_end({Kind::Over, true}, Certainty::Certain, Outcome::NotSent, Fate::Over);
     expect_end({Kind::Error, true}, Certainty::Certain, Outcome::ServerError, Fate::Open);
 }
