Targets: a told wait is heeded though its answer breaks off

A wait runs from when its answer is written. One whose answer broke off behind its head was forgotten, and the destination was called 50 ms later.

--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -218,7 +218,7 @@
     event.outcome = end.outcome;
     event.terminal = end.fate != Fate::Open;
     event.rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
-    if (written_ && observed().whole) {
+    if (written_) {
         event.wait = answer_.told_wait(longest_wait(owner_.config_));
         if (owner_.config_.reports) event.report = answer_.load_report();
     }
