--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -318,6 +318,7 @@
     std::vector<Recorded> recorded(actions.size());
     for (std::size_t i = 0; i < actions.size(); ++i) guarded([&] { recorded[i] = record(actions[i]); });
     if (!journal_.keep_turn()) undo_turn(replies, actions, recorded);
+    report_ended();
     reply_to_submitters(replies);
     for (std::size_t i = 0; i < actions.size(); ++i)
         guarded([&] { std::visit([&](const auto& action) { carry_out(action, recorded[i]); }, actions[i]); });
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -195,6 +195,7 @@
     void carry_out(const cometspoke::Watch&, const Recorded&) {}      // discovery is always watched
     void carry_out(const cometspoke::FetchList&, const Recorded&) {}  // the full list is fetched at the start
     void end_message(MessageId id, const FinalStatus& status);
+    void report_ended();
 
     asio::io_context& io_;
     Config config_;  // with the changes that reloads have made
@@ -236,6 +237,7 @@
     std::chrono::steady_clock::time_point drain_deadline_{};  // the drain ends no later than this
     std::chrono::steady_clock::duration longest_turn_{};      // reported in status() and at the end
     std::map<MessageId, SubmittedMessage> submitted_;         // in this turn, not answered yet
+    std::vector<std::pair<MessageId, FinalStatus>> ended_;    // by end_message(), not reported yet
     // Messages whose clients may not have read the reply yet, and may submit them again.
     RecentSet<MessageId, cometspoke::Time> recently_ended_;
 };
--- a/src/core/forwarder_recovery.cpp
+++ b/src/core/forwarder_recovery.cpp
@@ -141,6 +141,7 @@
     } else {
         for (const auto& item : backlog) resume_message(*journal_.find(item.id));
     }
+    report_ended();
 }
 /// Passes a message of an earlier process to the module, with what is known of its attempts.
 void Forwarder::resume_message(const Entry& entry) {
@@ -172,10 +173,16 @@
         if (const Entry* entry = journal_.find(id); entry != nullptr && entry->owed()) resume_message(*entry);
 }
 
-/// Ends a message that the module does not know: records and reports its final status.
+/// Ends a message that the module does not know: records its final status, which report_ended() reports.
 void Forwarder::end_message(MessageId id, const FinalStatus& status) {
     journal_.end(id, status);
-    discovery_.report_final_status(id, status);
+    recently_ended_.add(id, steady_now());
+    ended_.emplace_back(id, status);
+}
+/// Reports the final statuses of end_message(). To be called once they are in the journal: a process that is
+/// killed behind a report must find at its next start that the message is over.
+void Forwarder::report_ended() {
+    for (const auto& [id, status] : std::exchange(ended_, {})) discovery_.report_final_status(id, status);
 }
 
 }  // namespace lockgw
