Targets: a 503 that ends a used connection does not prove that its call never ran

Cause: the third world of a doubtful answer, a server's word about its connection, was left out. Change: a later answer on a connection that is no 200 and ends the connection is doubtful, so a refusal counts only for what may be repeated freely. An error claims nothing and keeps its outcome.

--- a/src/deliveries/http/answer_meaning.cpp
+++ b/src/deliveries/http/answer_meaning.cpp
@@ -40,7 +40,8 @@
         return {Outcome::Served, certainty == Certainty::Certain ? Fate::Over : Fate::OverIfConfirmed};
     if (answer.kind == AnswerKind::None) return {otherwise, Fate::Open};
     if (!answer.whole) return {otherwise, forbids_another_call(answer.kind) ? Fate::StatusOwed : Fate::Open};
-    if (certainty == Certainty::Certain) return proved(answer.kind);
+    const bool claims_nothing = answer.kind == AnswerKind::Error;  // it may have run in any case
+    if (certainty == Certainty::Certain || claims_nothing) return proved(answer.kind);
     // the call is given up, and its own answer may never be read
     if (forbids_another_call(answer.kind)) return {Outcome::CalledOff, Fate::StatusOwed};
     return repeatable ? proved(answer.kind) : CallEnd{Outcome::CalledOff, Fate::Open};
--- a/src/deliveries/http/connection_history.hpp
+++ b/src/deliveries/http/connection_history.hpp
@@ -8,6 +8,9 @@
 /// - An answer that is no copy may still belong to an earlier call with an unconfirmed delivery, in whose
 /// place
 ///   a copy was read. It comes while the connection rests; after kRestTime of silence none is outstanding.
+/// - An answer behind earlier ones that is no 200 and ends the connection may be the server's word that it
+/// ends an
+///   idle connection, which crossed the call.
 /// - A 200 behind earlier answers may be a copy. It is unconfirmed until the connection has rested.
 #pragma once
 
@@ -42,9 +45,9 @@
     bool rested(Time now) const;
     void begin_call(Time now) { rested_before_call_ = rested(now); }
 
-    /// What the answer to the present call proves. `delivered`: it says 200. `may_be_copy`: an earlier answer
-    /// of the connection may have said the same.
-    Certainty judge(bool delivered, bool may_be_copy) const;
+    /// What the answer to the present call proves. `delivered`: it says 200. `keeps_connection`: its head
+    /// does not end the connection, as the earlier ones did not.
+    Certainty judge(bool delivered, bool keeps_connection) const;
     /// A delivery that was told as unconfirmed.
     void add_unconfirmed(cometspoke::MessageId message) { unconfirmed_.push_back(message); }
     /// The last byte of an answer was read.
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -175,8 +175,7 @@
 /// Remembers the message if its delivery is unconfirmed.
 Certainty TargetConnection::judge(const Call& call) {
     const bool delivered = observed().kind == AnswerKind::Delivered;
-    const bool may_be_copy = delivered && answer_.keep_alive();
-    const Certainty certainty = history_.judge(delivered, may_be_copy);
+    const Certainty certainty = history_.judge(delivered, answer_.keep_alive());
     if (certainty == Certainty::Unconfirmed) history_.add_unconfirmed(call.message);
     return certainty;
 }
--- a/tests/ended_message_test.cpp
+++ b/tests/ended_message_test.cpp
@@ -80,6 +80,21 @@
     ::testing::Values(Contradiction{"safe", 408}, Contradiction{"safe", 503}, Contradiction{"keyed", 408},
         Contradiction{"keyed", 503}, Contradiction{"unsafe", 408}, Contradiction{"unsafe", 503}));
 
+// A server ends the idle connection by a 503 that crosses the call: what looks like its refusal does not prove that it
+// never ran.
+TEST_F(EndedMessage, A503ThatEndsAUsedConnectionProvesNothingOfAnUnsafeCall) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    const std::string ran = next_id();
+    ASSERT_EQ(enqueue(*client, ran, "unsafe"), "+OK");
+    const Exchange call = target.next();
+    ASSERT_EQ(call.header("X-Call-Id"), ran);
+    ASSERT_TRUE(carried[call.connection].contains(kOk)) << "the order is not forced";
+    call.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    call.hang_up();
+    expect_ended(ran);
+}
+
 // A 410 or 504 that breaks off behind its first line: the target has said that the message is over, or has no
 // attempts left.
 struct CutAnswer {
