Tests: a spoilt 410 and a 504 end a message, where two tests asked for another call

WithAnyOtherMayHaveRunAndIsRepeated asked that a message is called again after a 410 whose rest cannot be read, and RetriedAnswer after a 504.

--- a/tests/bad_answers_test.cpp
+++ b/tests/bad_answers_test.cpp
@@ -46,7 +46,7 @@
 }
 
 TEST_P(BadAnswer, WithAnyOtherMayHaveRunAndIsRepeated) {
-    for (const int status : {503, 410}) {
+    for (const int status : {503, 500}) {
         const std::string one = "00000000000" + std::to_string(10'000 + status);
         ASSERT_EQ(enqueue(*client, one), "+OK");
         answer(target.next(), status);
@@ -56,6 +56,19 @@
     }
 }
 
+// What the first line forbids stays forbidden: the message may be over.
+TEST_P(BadAnswer, WithAFirstLineOf410Or504EndsTheMessage) {
+    for (const int status : {410, 504}) {
+        const std::string one = "00000000000" + std::to_string(10'000 + status);
+        ASSERT_EQ(enqueue(*client, one), "+OK");
+        answer(target.next(), status);
+        const Exchange report = agent_request("/reports");
+        EXPECT_EQ(final_statuses(report)[0], (Json{{"ref", one}, {"result", "dead"}}));
+        report.write("HTTP/1.1 204 X\r\n\r\n");
+        EXPECT_TRUE(target.no_request_within(300ms)) << "it was sent once more after " << status;
+    }
+}
+
 TEST_P(BadAnswer, WithAnyOtherEndsAnUnsafeMessage) {
     ASSERT_EQ(enqueue(*client, id, "unsafe"), "+OK");
     answer(target.next(), 503);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -166,7 +166,6 @@
     ::testing::Values("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 503 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
         "HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Over-Slots: 1\r\n\r\n",
-        "HTTP/1.1 504 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 429 X\r\nContent-Length: 0\r\nRetry-After: what\r\n\r\n",
         "HTTP/1.1 999 X\r\nX-Load-Report: x0=,=,x9\r\nContent-Length: 0\r\n\r\n", "this is no HTTP\r\n\r\n",
         ""));
