lockgw-soak: a target, clients and a checker that speak the whole protocol

The target answers by the true state of each message (410 over by withdrawal, time, delivery or notice; 504; 400; 200 once more), tells waits, fails with and without effect, cuts answers, ends idle connections unasked, hangs, closes. Clients withdraw one by one and in bursts, give up early, use their connection until its end and send once more what that crossed. The checker has eight rules, one function each, and adds the program's log lines to a story.

--- a/rig/directory.cpp
+++ b/rig/directory.cpp
@@ -111,6 +111,11 @@
     const std::lock_guard lock(mutex_);
     return notices_;
 }
+std::optional<Clock::time_point> Directory::notice_told(const std::string& id) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = notices_told_.find(id);
+    return found == notices_told_.end() ? std::nullopt : std::optional(found->second);
+}
 std::size_t Directory::notices_of(const std::string& id) const {
     const std::lock_guard lock(mutex_);
     return static_cast<std::size_t>(std::count_if(
@@ -154,7 +159,10 @@
     }
     if (fault != PostFault::Deaf) {
         std::istringstream lines(body);
-        for (std::string line; std::getline(lines, line);) notices_.push_back(Json::parse(line));
+        for (std::string line; std::getline(lines, line);) {
+            notices_.push_back(Json::parse(line));
+            notices_told_.emplace(notices_.back().at("ref"), Clock::now());
+        }
     }
     changed_.notify_all();
     if (fault) return peer->after(60s, [] {});
--- a/rig/directory.hpp
+++ b/rig/directory.hpp
@@ -73,6 +73,8 @@
     std::vector<Json> notices() const;
     /// How often the end of this message was told.
     std::size_t notices_of(const std::string& id) const;
+    /// When the end of this message was told first; none if it was not.
+    std::optional<Clock::time_point> notice_told(const std::string& id) const;
     std::size_t posts() const;  ///< requests with notices, answered or not
     /// Waits until `revision` was asked from, which says that it was taken; false after `within`.
     bool wait_asked_from(std::int64_t revision, std::chrono::milliseconds within) const;
@@ -114,6 +116,7 @@
     std::map<std::string, Clock::time_point> stops_;
     std::vector<std::string> requests_;
     std::vector<Json> notices_;
+    std::map<std::string, Clock::time_point> notices_told_;  // the first of each message
     std::thread thread_;
 };
 
--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -2,45 +2,194 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <set>
 #include <sstream>
 
 namespace lockgw::rig::soak {
 namespace {
 
-constexpr int kDelivered = 200, kRefused = 503;
+constexpr int kDelivered = 200, kOver = 410;
 
-bool delivered(const ObservedMessage& message) {
+// The protocol page's slack.
+constexpr Milliseconds kSlack{50};          // on each time limit
+constexpr Milliseconds kLate{300};          // from a message's deadline until its end is overdue
+constexpr Milliseconds kAfterReady{1500};   // from a restart's end on, notices are overdue again
+constexpr Milliseconds kDrainGrace{500};    // from when a drain was told
+constexpr Milliseconds kWaitCrossing{100};  // calls that cross the answer with the wait
+constexpr Milliseconds kHoldUp{150};        // that a forwarder may be held up between its clock and a write
+constexpr Milliseconds kKillCrossing{
+    250};  // an answer so soon before a kill may not have been read, or not be kept
+
+bool was_delivered(const ObservedMessage& message) {
     return std::any_of(message.calls.begin(), message.calls.end(),
         [](const ObservedCall& call) { return call.status == kDelivered; });
 }
-bool may_have_run(const ObservedCall& call) { return call.status != kRefused; }
 
-/// Whether `call` may follow `earlier`, which may have run.
-bool may_repeat(const std::string& message_class, const ObservedCall& earlier, const ObservedCall& call) {
-    if (message_class == "safe") return true;
-    if (message_class == "keyed") return call.received - earlier.received <= kKeyedWindow;
-    return false;
-}
+/// The checks of one run.
+class Checker {
+public:
+    explicit Checker(const Observations& seen) : seen_(seen) {}
 
-std::string story_of(const std::string& id, const ObservedMessage& message, Clock::time_point began) {
-    std::ostringstream out;
-    out << std::fixed << std::setprecision(3);
-    const auto at = [&](Clock::time_point when) {
-        return std::chrono::duration<double>(when - began).count();
-    };
-    out << id << " (" << message.message_class << ") submitted to n" << message.forwarder << " at "
-        << at(message.submitted);
-    if (message.accepted) out << ", accepted at " << at(*message.accepted);
-    for (const ObservedCall& call : message.calls) {
-        out << "\n  called t" << call.target << " on connection " << call.connection << " at "
-            << at(call.received);
-        if (call.ended)
+    std::vector<Violation> run() {
+        for (const auto& [id, message] : seen_.messages) {
+            if (message.given_up) continue;  // what is sent under its id counts for nothing
+            id_ = &id;
+            check_duplicates(message);
+            check_called_after_end(message);
+            check_ended(message);
+            check_answered(message);
+        }
+        check_drains();
+        check_waits();
+        if (seen_.unknown > 0)
+            violations_.push_back({Rule::UnknownMessage, "", std::to_string(seen_.unknown)});
+        return std::move(violations_);
+    }
+
+private:
+    void broken(Rule rule, const std::string& id) {
+        if (reported_.emplace(rule, id).second) violations_.push_back({rule, id, story_of(id)});
+    }
+    void broken(Rule rule) { broken(rule, *id_); }
+    /// A call needs so long from its first byte to the target, and an answer back.
+    Milliseconds both_ways() const { return 2 * seen_.one_way; }
+    Milliseconds hold_up() const { return seen_.hold_ups ? kHoldUp : Milliseconds(0); }
+
+    // ---- a message that may have run is sent again only as its class allows; never two attempts out ----
+
+    bool may_repeat(
+        const ObservedMessage& message, const ObservedCall& earlier, const ObservedCall& call) const {
+        if (message.effect == Effect::Repeatable) return true;
+        return message.effect == Effect::Keyed &&
+               call.received - earlier.received <= seen_.keyed_window + kSlack;
+    }
+    void check_duplicates(const ObservedMessage& message) {
+        for (auto call = message.calls.begin(); call != message.calls.end(); ++call)
+            for (auto earlier = message.calls.begin(); earlier != call; ++earlier) {
+                if (earlier->may_have_run && !may_repeat(message, *earlier, *call)) broken(Rule::RanAgain);
+                if (!earlier->ended || *earlier->ended > call->received) broken(Rule::TwoAttemptsOut);
+            }
+    }
+
+    // ---- nothing is sent for a message that is over ----
+
+    bool killed_behind(std::size_t forwarder, Clock::time_point when) const {
+        return std::any_of(seen_.restarts.begin(), seen_.restarts.end(), [&](const Restart& restart) {
+            return restart.forwarder == forwarder && restart.ended > when - kKillCrossing &&
+                   restart.ended < when + kKillCrossing;
+        });
+    }
+    bool told_its_end(
+        const ObservedMessage& message, const ObservedCall& earlier, const ObservedCall& call) const {
+        const bool ends = earlier.status == kDelivered || earlier.status == kOver;
+        if (!ends || earlier.answer_lost || killed_behind(message.forwarder, *earlier.ended)) return false;
+        return *earlier.ended + both_ways() + kSlack < call.received;
+    }
+    void check_called_after_end(const ObservedMessage& message) {
+        for (auto call = message.calls.begin(); call != message.calls.end(); ++call) {
+            for (auto earlier = message.calls.begin(); earlier != call; ++earlier)
+                if (told_its_end(message, *earlier, *call)) broken(Rule::CalledAfterEnd);
+            if (message.reported && *message.reported + both_ways() + kSlack + hold_up() < call->received)
+                broken(Rule::CalledAfterEnd);
+        }
+    }
+
+    // ---- what was taken on is delivered or ended in time ----
+
+    /// From SIGTERM or SIGKILL of a restart until a while after the next process is ready, nothing is
+    /// overdue.
+    Clock::time_point overdue_at(const ObservedMessage& message) const {
+        Clock::time_point at =
+            message.submitted + message.deadline + kLate + kSlack + both_ways() + hold_up();
+        for (const Restart& restart : seen_.restarts)
+            if (restart.forwarder == message.forwarder && restart.told <= at && restart.ready &&
+                *restart.ready + kAfterReady + kSlack > at)
+                at = *restart.ready + kAfterReady + kSlack;
+        return at;
+    }
+    void check_ended(const ObservedMessage& message) {
+        if (!message.accepted || message.withdrawn || was_delivered(message)) return;
+        const bool told_over = std::any_of(message.calls.begin(), message.calls.end(),
+            [](const ObservedCall& call) { return call.status == kOver; });
+        if (told_over) return;
+        if (!message.reported || *message.reported > overdue_at(message)) broken(Rule::EndedInSilence);
+    }
+    void check_answered(const ObservedMessage& message) {
+        if (message.closed_unanswered) broken(Rule::ClosedUnanswered);
+    }
+
+    // ---- drains and waits ----
+
+    template <class Visit>
+    void each_call(Visit visit) const {
+        for (const auto& [id, message] : seen_.messages)
+            if (!message.given_up)
+                for (const ObservedCall& call : message.calls) visit(id, message, call);
+    }
+    void check_drains() {
+        const Milliseconds grace = kDrainGrace + kSlack + both_ways() + hold_up();
+        each_call([&](const std::string& id, const ObservedMessage&, const ObservedCall& call) {
+            for (const Drain& drain : seen_.drains)
+                if (call.target == drain.target && call.received > drain.told + grace &&
+                    (!drain.back || call.received < *drain.back))
+                    broken(Rule::DrainIgnored, id);
+        });
+    }
+    bool restarted_between(std::size_t forwarder, Clock::time_point from, Clock::time_point to) const {
+        return std::any_of(seen_.restarts.begin(), seen_.restarts.end(), [&](const Restart& restart) {
+            return restart.forwarder == forwarder && restart.ended > from - kKillCrossing &&
+                   restart.told < to;
+        });
+    }
+    void check_waits() {
+        const Milliseconds crossing = kWaitCrossing + kSlack + both_ways() + hold_up();
+        each_call([&](const std::string& id, const ObservedMessage& message, const ObservedCall& call) {
+            for (const ObservedWait& wait : seen_.waits)
+                if (wait.target == call.target && wait.forwarder == message.forwarder &&
+                    call.received > wait.written + crossing && call.received < wait.until &&
+                    !restarted_between(wait.forwarder, wait.written, call.received))
+                    broken(Rule::WaitIgnored, id);
+        });
+    }
+
+    // ---- the story of a message ----
+
+    double seconds(Clock::time_point when) const {
+        return std::chrono::duration<double>(when - seen_.began).count();
+    }
+    std::string story_of(const std::string& id) const {
+        const ObservedMessage& message = seen_.messages.at(id);
+        static const char* const effects[] = {"repeatable", "keyed", "unsafe"};
+        std::ostringstream out;
+        out << std::fixed << std::setprecision(3);
+        out << id << " (" << effects[static_cast<int>(message.effect)] << ", destination "
+            << message.destination << ") submitted to n" << message.forwarder << " at "
+            << seconds(message.submitted) << ", for " << message.deadline.count() << " ms";
+        if (message.accepted) out << ", accepted at " << seconds(*message.accepted);
+        if (message.withdrawn) out << ", withdrawn at " << seconds(*message.withdrawn);
+        for (const ObservedCall& call : message.calls) {
+            out << "\n  called t" << call.target << " on connection " << call.connection << " at "
+                << seconds(call.received);
+            if (!call.ended) continue;
             out << ", " << (call.status == 0 ? "given up" : std::to_string(call.status)) << " at "
-                << at(*call.ended);
+                << seconds(*call.ended) << (call.answer_lost && call.status != 0 ? ", perhaps lost" : "");
+        }
+        for (const std::string& status : message.final_statuses)
+            out << "\n  reported " << status << " at " << seconds(*message.reported);
+        for (const Restart& restart : seen_.restarts) {
+            if (restart.forwarder != message.forwarder) continue;
+            out << "\n  n" << restart.forwarder << " " << restart.signals << " from " << seconds(restart.told)
+                << ", ended " << seconds(restart.ended);
+            if (restart.ready) out << ", ready " << seconds(*restart.ready);
+        }
+        return out.str();
     }
-    for (const std::string& status : message.final_statuses) out << "\n  reported " << status;
-    return out.str();
-}
+
+    const Observations& seen_;
+    const std::string* id_ = nullptr;
+    std::vector<Violation> violations_;
+    std::set<std::pair<Rule, std::string>> reported_;
+};
 
 }  // namespace
 
@@ -50,57 +199,59 @@
             return "ran again";
         case Rule::TwoAttemptsOut:
             return "two attempts out";
+        case Rule::CalledAfterEnd:
+            return "called after its end";
         case Rule::EndedInSilence:
+            return "ended in silence";
+        case Rule::ClosedUnanswered:
+            return "closed unanswered";
+        case Rule::DrainIgnored:
+            return "drain ignored";
+        case Rule::WaitIgnored:
+            return "wait ignored";
+        case Rule::UnknownMessage:
             break;
     }
-    return "ended in silence";
+    return "unknown message";
 }
 
-std::vector<Violation> check(const Observations& observations) {
-    std::vector<Violation> violations;
-    for (const auto& [id, message] : observations.messages) {
-        const auto broken = [&](Rule rule) {
-            violations.push_back({rule, id, story_of(id, message, observations.began)});
-        };
-        for (std::size_t i = 0; i < message.calls.size(); ++i) {
-            const ObservedCall& call = message.calls[i];
-            const auto earlier_end = message.calls.begin() + static_cast<std::ptrdiff_t>(i);
-            const bool forbidden =
-                std::any_of(message.calls.begin(), earlier_end, [&](const ObservedCall& earlier) {
-                    return may_have_run(earlier) && !may_repeat(message.message_class, earlier, call);
-                });
-            const bool beside =
-                std::any_of(message.calls.begin(), earlier_end, [&](const ObservedCall& earlier) {
-                    return !earlier.ended || *earlier.ended > call.received;
-                });
-            if (forbidden) broken(Rule::RanAgain);
-            if (beside) broken(Rule::TwoAttemptsOut);
-        }
-        if (message.accepted && !delivered(message) && message.final_statuses.empty())
-            broken(Rule::EndedInSilence);
-    }
-    return violations;
-}
+std::vector<Violation> check(const Observations& observations) { return Checker(observations).run(); }
 
 nlohmann::json report(const Observations& observations, const std::vector<Violation>& violations) {
-    std::size_t accepted = 0, served = 0, calls = 0, ended_unrun = 0;
+    std::size_t accepted = 0, served = 0, calls = 0, ended_unrun = 0, withdrawn = 0, given_up = 0;
     for (const auto& [id, message] : observations.messages) {
         calls += message.calls.size();
+        withdrawn += message.withdrawn.has_value();
+        given_up += message.given_up;
         if (!message.accepted) continue;
         ++accepted;
-        served += delivered(message);
-        const bool never_ran = std::none_of(message.calls.begin(), message.calls.end(), may_have_run);
+        served += was_delivered(message);
+        const bool never_ran = std::none_of(message.calls.begin(), message.calls.end(),
+            [](const ObservedCall& call) { return call.may_have_run; });
         const bool dead =
             std::count(message.final_statuses.begin(), message.final_statuses.end(), "dead") > 0;
-        ended_unrun += dead && never_ran;
+        ended_unrun += dead && never_ran && !message.withdrawn;
     }
-    nlohmann::json broken = nlohmann::json::array();
+    nlohmann::json broken = nlohmann::json::array(), statuses = nlohmann::json::object();
     for (const Violation& violation : violations)
         broken.push_back(
             {{"rule", text_of(violation.rule)}, {"message", violation.message}, {"story", violation.story}});
+    nlohmann::json restarts = nlohmann::json::array();
+    const auto seconds = [&](Clock::time_point when) {
+        return std::chrono::duration<double>(when - observations.began).count();
+    };
+    for (const Restart& restart : observations.restarts)
+        restarts.push_back({{"forwarder", restart.forwarder}, {"signals", restart.signals},
+            {"told_s", seconds(restart.told)}, {"ended_s", seconds(restart.ended)},
+            {"ready_s", restart.ready ? seconds(*restart.ready) : -1}});
+    for (const auto& [status, count] : observations.statuses) statuses[std::to_string(status)] = count;
     return {{"messages", observations.messages.size()}, {"accepted", accepted}, {"delivered", served},
         {"calls", calls}, {"connections", observations.connections}, {"copies", observations.copies},
-        {"dead_though_never_run", ended_unrun}, {"broken", std::move(broken)}};
+        {"unasked", observations.unasked}, {"cut", observations.cut}, {"hung", observations.hung},
+        {"withdrawn", withdrawn}, {"given_up", given_up}, {"answers", std::move(statuses)},
+        {"restarts", std::move(restarts)}, {"drains", observations.drains.size()},
+        {"waits", observations.waits.size()}, {"dead_though_never_run", ended_unrun},
+        {"broken", std::move(broken)}};
 }
 
 }  // namespace lockgw::rig::soak
--- a/rig/soak/checker.hpp
+++ b/rig/soak/checker.hpp
@@ -10,9 +10,14 @@
 namespace lockgw::rig::soak {
 
 enum class Rule {
-    RanAgain,        ///< a message that may have run was called again though its class forbids it
-    TwoAttemptsOut,  ///< two calls of one message were out at once
-    EndedInSilence,  ///< accepted, never delivered, and no final status was reported
+    RanAgain,          ///< a message that may have run was called again though its effect forbids it
+    TwoAttemptsOut,    ///< two calls of one message were out at once
+    CalledAfterEnd,    ///< called again after its own 200 or 410, or after its final status
+    EndedInSilence,    ///< taken on, and neither delivered nor ended in time
+    ClosedUnanswered,  ///< a request was read, and its connection closed with no reply
+    DrainIgnored,      ///< called at a target that drains, after the grace
+    WaitIgnored,       ///< called at a target that has told this forwarder to wait
+    UnknownMessage,    ///< a call of a message that nobody handed in
 };
 const char* text_of(Rule rule);
 
@@ -22,9 +27,6 @@
     std::string story;  ///< one line for each event of the message, times in seconds from the start
 };
 
-/// How long a target drops a repeat of a keyed message, from the first call that may have run.
-constexpr std::chrono::milliseconds kKeyedWindow{4000};
-
 std::vector<Violation> check(const Observations& observations);
 /// Counts, the cost of caution, and the violations.
 nlohmann::json report(const Observations& observations, const std::vector<Violation>& violations);
--- a/rig/soak/client_load.cpp
+++ b/rig/soak/client_load.cpp
@@ -1,9 +1,11 @@
 #include "rig/soak/client_load.hpp"
 
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdio>
 #include <istream>
+#include <iterator>
 
 #include "rig/node.hpp"
 
@@ -14,8 +16,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kReconnect{50};
+constexpr Milliseconds kReconnect{50}, kLongestPatience{30}, kEarlyWithdrawal{400};
 constexpr std::uint64_t kIdsOfOneClient = 1u << 24;
+constexpr std::size_t kMostRecent = 400;
 
 std::string id_text(std::uint64_t number) {
     char text[17];
@@ -29,23 +32,38 @@
     explicit Session(asio::io_context& io) : socket(io) {}
     Tcp::socket socket;
     asio::streambuf in;
-    std::deque<std::string> unanswered;  // ids, in the order in which they were handed in
-    bool connected = false;
+    std::deque<Request> unanswered;  // in the order in which they were handed in
+    bool connected = false, answered = false;
 };
 
-ClientLoad::ClientLoad(
-    asio::io_context& io, const ClientPlan& plan, std::mt19937_64& random, Observations& observations)
-    : io_(io), plan_(plan), random_(random), observations_(observations), timer_(io) {}
+ClientLoad::ClientLoad(asio::io_context& io, const ClientPlan& plan, std::mt19937_64& random,
+    Observations& observations, KilledSince killed_since)
+    : io_(io),
+      plan_(plan),
+      random_(random),
+      observations_(observations),
+      killed_since_(std::move(killed_since)),
+      timer_(io) {}
 
 void ClientLoad::start() {
     connect();
     tick();
+    if (plan_.bursts > 0) schedule_burst();
 }
 void ClientLoad::stop() {
     stopped_ = true;
     timer_.cancel();
 }
 
+bool ClientLoad::chance(double share) { return std::uniform_real_distribution<>(0, 1)(random_) < share; }
+Milliseconds ClientLoad::up_to(Milliseconds most) {
+    return Milliseconds(std::uniform_int_distribution<Milliseconds::rep>(1, most.count())(random_));
+}
+void ClientLoad::later(Milliseconds delay, std::function<void()> step) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+    timer->async_wait([timer, step = std::move(step)](auto) { step(); });
+}
+
 void ClientLoad::tick() {
     timer_.expires_after(std::chrono::duration_cast<Clock::duration>(
         std::chrono::duration<double>(std::exponential_distribution<>(plan_.per_second)(random_))));
@@ -59,19 +77,64 @@
 void ClientLoad::submit() {
     static const char* const classes[] = {"safe", "keyed", "unsafe", "unsafe"};
     const std::string id = id_text((plan_.forwarder + 1) * kIdsOfOneClient + ++submitted_);
-    const std::string message_class = classes[random_() % std::size(classes)];
-    const auto destination =
-        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(plan_.destinations));
     ObservedMessage& message = observations_.messages[id];
-    message.message_class = message_class;
+    message.message_class = classes[random_() % std::size(classes)];
+    message.effect = plan_.effects.at(message.message_class);
+    message.destination =
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(plan_.destinations));
     message.forwarder = plan_.forwarder;
     message.submitted = Clock::now();
-    session_->unanswered.push_back(id);
-    const std::string names = "c=" + message_class + ",t=acme,d=" + std::to_string(plan_.deadline.count()) +
-                              ",k=" + id + ",dest=" + std::to_string(destination);
+    message.deadline =
+        plan_.shortest_deadline + up_to(plan_.longest_deadline - plan_.shortest_deadline + Milliseconds(1));
+    const std::string names = "c=" + message.message_class +
+                              ",t=acme,d=" + std::to_string(message.deadline.count()) + ",k=" + id +
+                              ",dest=" + std::to_string(message.destination);
+    recent_.push_back(id);
+    if (recent_.size() > kMostRecent) recent_.pop_front();
+    if (chance(plan_.withdrawn)) later(up_to(withdrawal_by(message)), [this, id] { withdraw(id); });
+    send({id, command({"ENQUEUE", "0000000000000000", id, names, "BODY"}), Clock::now(), false});
+    if (chance(plan_.impatient))
+        later(up_to(kLongestPatience), [this, session = session_, id] {
+            const auto waits = [&](const Request& request) { return request.id == id; };
+            if (std::none_of(session->unanswered.begin(), session->unanswered.end(), waits)) return;
+            for (const Request& request : session->unanswered)
+                observations_.messages[request.id].given_up = true;
+            session->unanswered.clear();
+            boost::system::error_code ignored;
+            session->socket.close(ignored);
+        });
+}
+
+/// Half of them early, while most messages are still open.
+Milliseconds ClientLoad::withdrawal_by(const ObservedMessage& message) {
+    return chance(0.5) ? kEarlyWithdrawal : message.deadline;
+}
+
+void ClientLoad::send(Request request) {
     boost::system::error_code ignored;
-    asio::write(
-        session_->socket, asio::buffer(command({"ENQUEUE", "0000000000000000", id, names, "BODY"})), ignored);
+    asio::write(session_->socket, asio::buffer(request.bytes), ignored);
+    session_->unanswered.push_back(std::move(request));
+}
+
+/// From now on its target answers 410.
+void ClientLoad::withdraw(const std::string& id) {
+    ObservedMessage& message = observations_.messages[id];
+    if (!message.withdrawn) message.withdrawn = Clock::now();
+}
+void ClientLoad::schedule_burst() {
+    const auto pause = std::chrono::duration<double>(std::exponential_distribution<>(plan_.bursts)(random_));
+    later(std::chrono::duration_cast<Milliseconds>(pause), [this] {
+        if (stopped_) return;
+        withdraw_burst();
+        schedule_burst();
+    });
+}
+/// A client of one destination leaves: all that it has handed in lately is withdrawn.
+void ClientLoad::withdraw_burst() {
+    const auto destination =
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(plan_.destinations));
+    for (const std::string& id : recent_)
+        if (observations_.messages[id].destination == destination) withdraw(id);
 }
 
 void ClientLoad::connect() {
@@ -79,26 +142,22 @@
     const auto session = std::make_shared<Session>(io_);
     session_ = session;
     session->socket.async_connect(plan_.address, [this, session](auto failed) {
-        if (!failed) {
-            session->connected = true;
-            return read(session);
-        }
-        auto retry = std::make_shared<asio::steady_timer>(io_, kReconnect);
-        retry->async_wait([this, retry](auto) { connect(); });
+        if (failed) return later(kReconnect, [this] { connect(); });
+        session->connected = true;
+        for (Request& request : std::exchange(to_repeat_, {})) send(std::move(request));
+        read(session);
     });
 }
 
 void ClientLoad::read(const std::shared_ptr<Session>& session) {
     asio::async_read_until(session->socket, session->in, "\r\n", [this, session](auto failed, std::size_t) {
-        if (failed) {
-            session->connected = false;
-            return connect();
-        }
+        if (failed) return lost(session);
+        session->answered = true;
         std::istream stream(&session->in);
         std::string line;
         std::getline(stream, line);
         if (!session->unanswered.empty()) {
-            const std::string id = session->unanswered.front();
+            const std::string id = session->unanswered.front().id;
             session->unanswered.pop_front();
             if (line.starts_with("+OK")) observations_.messages[id].accepted = Clock::now();
         }
@@ -106,4 +165,23 @@
     });
 }
 
+/// A request that its connection's end has crossed is sent once more. Where the forwarder was killed, or
+/// where a crowd may have had a new connection shut unread, nothing is known of it.
+void ClientLoad::lost(const std::shared_ptr<Session>& session) {
+    session->connected = false;
+    for (Request& request : session->unanswered) {
+        const bool excused = killed_since_(request.sent) || (observations_.crowd && !session->answered);
+        if (excused) {
+            observations_.messages[request.id].given_up = true;
+        } else if (request.repeated) {
+            observations_.messages[request.id].closed_unanswered = true;
+        } else {
+            request.repeated = true;
+            to_repeat_.push_back(std::move(request));
+        }
+    }
+    session->unanswered.clear();
+    connect();
+}
+
 }  // namespace lockgw::rig::soak
--- a/rig/soak/client_load.hpp
+++ b/rig/soak/client_load.hpp
@@ -1,6 +1,7 @@
 /// A client that hands messages of all classes in at one forwarder, over one connection, at a steady rate.
 ///
-/// Reconnects when its connection ends; a message whose answer was lost is not handed in again. One event
+/// It uses its connection until that ends, sends a request once more on a new one if its connection ends
+/// unanswered, gives some requests up early, and withdraws some messages, one by one and in bursts. One event
 /// loop.
 #pragma once
 
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -21,30 +23,54 @@
     std::size_t forwarder = 0;
     boost::asio::ip::tcp::endpoint address;
     double per_second = 30;
-    std::chrono::milliseconds deadline{4000};  ///< of each message
-    std::int64_t destinations = 6;             ///< numbered from 0
+    Milliseconds shortest_deadline{4000}, longest_deadline{4000};  ///< of each message
+    std::int64_t destinations = 6;                                 ///< numbered from 0
+    std::map<std::string, Effect> effects;                         ///< by class
+    double impatient = 0;  ///< share of requests that are given up within 30 ms
+    double withdrawn = 0;  ///< share of messages that are withdrawn, at any time until their deadline
+    double bursts = 0;     ///< withdrawals of all messages of one destination, a second
 };
 
 class ClientLoad {
 public:
+    /// Whether the forwarder's process has been killed since then, or is about to end.
+    using KilledSince = std::function<bool(Clock::time_point)>;
+
     ClientLoad(boost::asio::io_context& io, const ClientPlan& plan, std::mt19937_64& random,
-        Observations& observations);
+        Observations& observations, KilledSince killed_since);
     void start();
     void stop();
 
 private:
+    struct Request {
+        std::string id, bytes;
+        Clock::time_point sent;
+        bool repeated = false;
+    };
     struct Session;
+    bool chance(double share);
+    Milliseconds up_to(Milliseconds most);
+    void later(Milliseconds delay, std::function<void()> step);
     void tick();
     void submit();
+    void send(Request request);
+    void withdraw(const std::string& id);
+    Milliseconds withdrawal_by(const ObservedMessage& message);
+    void schedule_burst();
+    void withdraw_burst();
     void connect();
     void read(const std::shared_ptr<Session>& session);
+    void lost(const std::shared_ptr<Session>& session);
 
     boost::asio::io_context& io_;
     ClientPlan plan_;
     std::mt19937_64& random_;
     Observations& observations_;
+    KilledSince killed_since_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<Session> session_;
+    std::deque<Request> to_repeat_;
+    std::deque<std::string> recent_;  // ids, the newest last
     std::uint64_t submitted_ = 0;
     bool stopped_ = false;
 };
--- a/rig/soak/faulty_target.hpp
+++ b/rig/soak/faulty_target.hpp
@@ -1,11 +1,13 @@
-/// A stand-in target behind a link with faults: each direction is delayed, answers are written a second time
-/// some time later, and connections are reset while a call is out.
+/// A stand-in target that speaks the whole table of outcomes of the protocol page, by the true state of each
+/// message, behind a link with faults: each direction is delayed, answers are copied, cut or never written,
+/// idle connections are ended by an answer to no call.
 ///
 /// One event loop; the observations are written on its thread.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -17,20 +19,33 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
+/// Shares are of calls, unless said otherwise.
 struct LinkFaults {
-    std::chrono::milliseconds one_way{0};   ///< delay of each direction
-    double copied = 0;                      ///< share of answers that are written twice
-    std::chrono::milliseconds copy_lag{0};  ///< at most so long behind the answer, 1 ms at least
-    double reset = 0;                       ///< share of calls whose connection is reset instead of an answer
-    double refused = 0;                     ///< share of calls that are answered 503
-    std::chrono::milliseconds service{40};  ///< a call takes up to so long
+    Milliseconds one_way{0};   ///< delay of each direction
+    double copied = 0;         ///< share of answers that are written twice
+    Milliseconds copy_lag{0};  ///< at most so long behind the answer, 1 ms at least
+    double reset = 0;          ///< the connection is reset instead of an answer
+    double refused = 0;        ///< answered 503
+    double told_to_wait = 0;   ///< answered 429 with a wait; until it is over all calls are refused
+    double failed = 0;         ///< answered 500; half of these ran
+    double over_slots = 0;     ///< answered 503 with X-Over-Slots
+    double cut = 0;            ///< share of answers that break off, and the connection with them
+    double closing = 0;        ///< share of answers with `Connection: close`
+    double unasked = 0;        ///< share of answers behind which the idle connection is ended by a 408 or 503
+    double hung = 0;           ///< never answered
+    Milliseconds service{40};  ///< a call takes up to so long
 };
 
 class FaultyTarget {
 public:
+    /// Whether a notice has been reported for this message.
+    using Ended = std::function<bool(const std::string& id)>;
+
     FaultyTarget(asio::io_context& io, std::size_t number, const LinkFaults& faults, std::mt19937_64& random,
-        Observations& observations);
+        Observations& observations, Ended ended);
     Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    /// Calls are taken and none is answered until then.
+    void hang_until(Clock::time_point until) { hangs_until_ = until; }
 
 private:
     class Connection;
@@ -41,6 +56,8 @@
     const LinkFaults& faults_;
     std::mt19937_64& random_;
     Observations& observations_;
+    Ended ended_;
+    Clock::time_point shut_until_{}, hangs_until_{};
     Tcp::acceptor acceptor_;
 };
 
--- a/rig/soak/soak.hpp
+++ b/rig/soak/soak.hpp
@@ -19,10 +19,26 @@
     std::size_t targets_each = 3;
     double messages_per_second = 100;  ///< over all forwarders
     LinkFaults link;
-    bool hold_ups = false;  ///< a forwarder is stopped for up to 150 ms now and then
-    bool kills = false;     ///< a forwarder is killed and started again now and then
+    Milliseconds shortest_deadline{4000}, longest_deadline{4000};
+    Milliseconds keyed_window{4000};
+    bool effects_drawn = false;   ///< which class may be repeated is drawn from the seed
+    bool hold_ups = false;        ///< a forwarder is stopped for up to 150 ms now and then
+    bool kills = false;           ///< a forwarder is killed and started again now and then
+    bool terminations = false;    ///< a forwarder gets SIGTERM, and SIGKILL 3.7 s later
+    bool reloads = false;         ///< a forwarder gets SIGHUP now and then
+    bool drains = false;          ///< targets are drained and come back
+    bool hanging_spells = false;  ///< all targets of a destination hang for 2 to 3 s now and then
+    double impatient = 0;         ///< share of requests that are given up early
+    double withdrawn = 0;         ///< share of messages that are withdrawn
+    double bursts = 0;            ///< withdrawals of a whole destination, by each client, a second
+    std::size_t crowd = 0;        ///< idle connections to each forwarder
 };
 
+/// Draws the faults of a run from its seed; each kind is in some runs and not in others.
+void draw_faults(SoakPlan& plan);
+/// What was drawn, for the report.
+nlohmann::json text_of(const SoakPlan& plan);
+
 struct SoakResult {
     std::vector<Violation> violations;
     nlohmann::json report;
--- a/rig/soak_main.cpp
+++ b/rig/soak_main.cpp
@@ -26,12 +26,23 @@
     app.add_option("--refused", plan.link.refused, "share of calls that are refused");
     app.add_option("--reset", plan.link.reset, "share of calls whose connection is reset");
     app.add_flag("--hold-ups", plan.hold_ups, "forwarders are stopped for up to 150 ms now and then");
+    app.add_option("--unasked", plan.link.unasked,
+        "share of answers behind which the idle connection is ended by a 408 or 503");
+    app.add_option("--withdrawn", plan.withdrawn, "share of messages that are withdrawn");
+    app.add_option("--bursts", plan.bursts, "withdrawals of a whole destination by each client, a second");
+    app.add_flag("--terminations", plan.terminations, "forwarders get SIGTERM, and SIGKILL 3.7 s later");
+    app.add_flag("--hanging-spells", plan.hanging_spells, "destinations hang for 2 to 3 s now and then");
+    app.add_option("--crowd", plan.crowd, "idle connections to each forwarder");
+    bool drawn = false;
+    app.add_flag(
+        "--drawn", drawn, "all faults are drawn from the seed; other options for faults are ignored");
     app.add_flag("--kills", plan.kills, "forwarders are killed and started again now and then");
     CLI11_PARSE(app, argc, argv);
     if (plan.seed == 0) plan.seed = std::random_device()();
     plan.span = std::chrono::seconds(seconds);
     plan.link.copy_lag = std::chrono::milliseconds(copy_lag);
     plan.link.one_way = std::chrono::milliseconds(one_way);
+    if (drawn) lockgw::rig::soak::draw_faults(plan);
     const auto result = lockgw::rig::soak::play(plan);
     std::cout << result.report.dump() << '\n';
     for (const auto& violation : result.violations)
