--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -285,7 +285,8 @@
             if (one.at("number") == kLast) return true;
         return false;
     }
-    /// A list that comes too late for its request, on a machine that is busy, is asked for again and answered again.
+    /// A list that comes too late for its request, on a machine that is busy, is asked for again and answered
+    /// again.
     bool comes_into_force() {
         return run_until([this] {
             if (in_force()) return true;
--- a/tests/descriptor_exhaustion_test.cpp
+++ b/tests/descriptor_exhaustion_test.cpp
@@ -81,8 +81,8 @@
     };
     EXPECT_TRUE(eventually(all_ran, 2 * kDeadline)) << node.log();  // attempts are spread over 30 s
     for (const auto& [id, count] : targets.effects_by_id()) EXPECT_EQ(count, 1) << id;
-    // A delivery over a connection that is closed for its descriptor cannot be confirmed: its final status may be
-    // reported, which changes nothing. All have run; no other message may end in this way.
+    // A delivery over a connection that is closed for its descriptor cannot be confirmed: its final status
+    // may be reported, which changes nothing. All have run; no other message may end in this way.
     for (const Json& notice : directory.notices()) {
         EXPECT_EQ(notice.at("result"), "dead");
         EXPECT_TRUE(targets.effects_by_id().contains(notice.at("ref").get<std::string>())) << notice;
