--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -141,11 +141,15 @@
                    restart.told < to;
         });
     }
+    /// An answer that could not be written, or was overtaken by a reset, has told nothing.
+    bool was_told(const ObservedWait& wait) const {
+        return !seen_.messages.at(wait.message).calls[wait.call].answer_lost;
+    }
     void check_waits() {
         const Milliseconds crossing = kWaitCrossing + kSlack + both_ways() + hold_up();
         each_call([&](const std::string& id, const ObservedMessage& message, const ObservedCall& call) {
             for (const ObservedWait& wait : seen_.waits)
-                if (wait.target == call.target && wait.forwarder == message.forwarder &&
+                if (wait.target == call.target && wait.forwarder == message.forwarder && was_told(wait) &&
                     call.received > wait.written + crossing && call.received < wait.until &&
                     !restarted_between(wait.forwarder, wait.written, call.received))
                     broken(Rule::WaitIgnored, id);
--- a/rig/soak/faulty_target.cpp
+++ b/rig/soak/faulty_target.cpp
@@ -204,8 +204,8 @@
     }
     void note_wait(const CallIndex& call) {
         const Clock::time_point written = Clock::now() + faults().one_way;
-        observations().waits.push_back(
-            {message_of(call).forwarder, target_.number_, written, written + told_wait_});
+        observations().waits.push_back({message_of(call).forwarder, target_.number_, written,
+            written + told_wait_, call.first, call.second});
     }
     void copy(const std::string& bytes) {
         later(up_to(faults().copy_lag), [self = shared_from_this(), bytes] {
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -55,6 +55,8 @@
 struct ObservedWait {
     std::size_t forwarder = 0, target = 0;
     Clock::time_point written, until;
+    std::string message;   ///< whose call was answered so,
+    std::size_t call = 0;  ///< and which of its calls
 };
 
 /// The process of a forwarder does not serve for this span.
