--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -141,9 +141,9 @@
                    restart.told < to;
         });
     }
-    /// An answer that could not be written, or was overtaken by a reset, has told nothing.
+    /// A wait runs from when its answer is written: one that could not be written has told nothing.
     bool was_told(const ObservedWait& wait) const {
-        return !seen_.messages.at(wait.message).calls[wait.call].answer_lost;
+        return !seen_.messages.at(wait.message).calls[wait.call].answer_unwritten;
     }
     void check_waits() {
         const Milliseconds crossing = kWaitCrossing + kSlack + both_ways() + hold_up();
--- a/rig/soak/faulty_target.cpp
+++ b/rig/soak/faulty_target.cpp
@@ -242,7 +242,9 @@
         later(faults().one_way, [self = shared_from_this(), bytes, call] {
             boost::system::error_code failed = asio::error::not_connected;
             if (self->socket_.is_open()) asio::write(self->socket_, asio::buffer(bytes), failed);
-            if (failed && call) self->observed(*call).answer_lost = true;
+            if (!failed || !call) return;
+            self->observed(*call).answer_lost = true;
+            self->observed(*call).answer_unwritten = true;
         });
     }
 
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -31,6 +31,8 @@
     /// Its answer may not have been read: the connection was reset behind it, or was closed before it
     /// arrived.
     bool answer_lost = false;
+    /// Its connection was closed before its answer could be written.
+    bool answer_unwritten = false;
 };
 
 struct ObservedMessage {
