Targets: the end of each delivery in doubt is owed at once; keyed calls reuse connections

Cause: what an answer owes was decided by a belief (silence), and the price of the doubt was paid in connections. The principle of docs/answer-pairing.md, applied to the end: a 200 that may be a copy ends its message at once by the notice that does no harm to one that is over. What came later for such a delivery (silence, contradiction, close, descriptor, room) no longer decides anything, so the settlement, its records and its timers are gone. The older record DeliveredUnconfirmed is still read (test). An answer is doubtful by its kind: it may be a copy of one that the connection has carried. So a connection is kept behind a refusal that is its call's own, and closed behind a doubtful one. Messages with a key use a connection in doubt while their target has refused nothing for 10 s; unsafe ones never do. What comes in one piece with its answer closes that connection alone.

--- a/src/base/final_status.hpp
+++ b/src/base/final_status.hpp
@@ -8,6 +8,8 @@
 struct FinalStatus {
     bool refused = false;  ///< the client may send it again; otherwise it failed ("dead")
     std::chrono::milliseconds retry_after{0};
+    /// Owed for a delivery whose answer may have been another call's. For the log; not kept in the journal.
+    bool perhaps_delivered = false;
 };
 
 }  // namespace lockgw
--- a/src/core/delivery.hpp
+++ b/src/core/delivery.hpp
@@ -28,16 +28,14 @@
     /// On the steady clock. A call that is not fully written by then ends, in such a way that the target does
     /// not take it.
     cometspoke::Time begin_by{cometspoke::Time::max()};
-    /// The message may be sent again whatever became of this call (Effect::Retryable).
-    bool repeatable = false;
+    cometspoke::Effect effect = cometspoke::Effect::Fragile;
 };
 
 /// What the end of a call means for its message.
 enum class Fate {
-    Open,             ///< not over: its class decides whether another call is allowed
-    Over,             ///< no further call, and nothing more is owed
-    OverIfConfirmed,  ///< no further call; SettledCallback tells later whether its final status is owed
-    StatusOwed,       ///< no further call, and its final status is owed
+    Open,        ///< not over: its class decides whether another call is allowed
+    Over,        ///< no further call, and nothing more is owed
+    StatusOwed,  ///< no further call, and its final status is owed
 };
 
 /// The end of a call. `event.terminal` is true for each fate but Open.
@@ -50,15 +48,12 @@
 class Delivery {
 public:
     using OutcomeCallback = std::function<void(const CallResult&)>;
-    /// Of messages that were told as OverIfConfirmed: Over or StatusOwed.
-    using SettledCallback = std::function<void(const std::vector<MessageId>&, Fate)>;
     /// Whether the call may still be sent to the process at this address. Asked once per call, right before
     /// its first byte is written. If it returns false the outcome is NotSent: the call has certainly not run.
     using SendGate = std::function<bool(const Call&, const Tcp::endpoint&)>;
     struct Callbacks {
         SendGate may_send;
         OutcomeCallback on_outcome;
-        SettledCallback on_settled;
     };
 
     virtual ~Delivery() = default;
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -68,9 +68,7 @@
       planner_(subset_parameters(config_), config_.spread),
       delivery_(protocols.delivery(io, config_, max_target_connections(config_),
           {[this](const Call& call, const Tcp::endpoint& address) { return may_send(call, address); },
-              [this](const CallResult& result) { handle_outcome(result); },
-              [this](
-                  const std::vector<MessageId>& messages, Fate fate) { handle_settled(messages, fate); }})),
+              [this](const CallResult& result) { handle_outcome(result); }})),
       discovery_(
           io,
           {config_.discovery, config_.known, cometspoke::settings::names_in(config_.names.zones),
@@ -251,8 +249,9 @@
         if (result.fate == Fate::Open) {
             journal_.end_attempt(event.message, proves_never_ran(event.outcome));
         } else {
-            record_end(event.message, result.fate);
-            recovery_.on_message_ended(event.message, event.outcome == Outcome::Served);
+            const bool served = event.outcome == Outcome::Served;
+            record_end(event.message, result.fate, served);
+            recovery_.on_message_ended(event.message, served);
         }
     }
     recovery_.on_outcome(event);
@@ -263,22 +262,14 @@
     stop_if_done();
 }
 
-/// Of deliveries that were told as unconfirmed: nothing more is owed, or their final status.
-void Forwarder::handle_settled(const std::vector<MessageId>& messages, Fate fate) {
-    schedule_turn();
-    for (const MessageId id : messages) {
-        const Entry* entry = journal_.find(id);
-        if (entry != nullptr && entry->unconfirmed) record_end(id, fate);
+/// Records what is left to do for a message that gets no further call. `served`: the call was answered 200.
+void Forwarder::record_end(MessageId id, Fate fate, bool served) {
+    if (fate == Fate::StatusOwed) {
+        FinalStatus status;
+        status.perhaps_delivered = served;
+        return end_message(id, status);
     }
-    stop_if_done();
-}
-
-/// Records what is left to do for a message that gets no further call. An unconfirmed delivery that the
-/// journal has no room to keep until it is settled is ended at once by its final status.
-void Forwarder::record_end(MessageId id, Fate fate) {
-    if (fate == Fate::StatusOwed || (fate == Fate::OverIfConfirmed && !journal_.has_spare_room()))
-        return end_message(id, {});
-    fate == Fate::Over ? journal_.delivered(id) : journal_.delivered_unconfirmed(id);
+    journal_.delivered(id);
     recently_ended_.add(id, steady_now());
 }
 
@@ -413,9 +404,8 @@
         return observe(event);
     }
     const Message& message = journal_.find(send.message)->message;
-    delivery_->start(
-        {send.message, send.endpoint, recorded.attempt, message.destination, message.key, message.body,
-            send.time_out, send.begin_by, message.terms && message.terms->effect == Effect::Retryable});
+    delivery_->start({send.message, send.endpoint, recorded.attempt, message.destination, message.key,
+        message.body, send.time_out, send.begin_by, message.terms ? message.terms->effect : Effect::Fragile});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel, const Recorded&) {
     delivery_->cancel(cancel.message, cancel.attempt);
--- a/src/deliveries/http/answer.hpp
+++ b/src/deliveries/http/answer.hpp
@@ -12,7 +12,7 @@
 #include <utility>
 
 #include "cometspoke/sender.hpp"
-#include "deliveries/http/answer_meaning.hpp"
+#include "deliveries/http/answer_kind.hpp"
 
 namespace lockgw {
 
--- a/src/deliveries/http/answer_meaning.cpp
+++ b/src/deliveries/http/answer_meaning.cpp
@@ -2,6 +2,7 @@
 
 namespace lockgw {
 
+using cometspoke::Effect;
 using cometspoke::Outcome;
 
 namespace {
@@ -34,44 +35,24 @@
 
 }  // namespace
 
-CallEnd end_of_call(ObservedAnswer answer, Certainty certainty, bool repeatable, Outcome otherwise) {
-    // true by its first line, whatever becomes of the rest
+CallEnd end_of_call(ObservedAnswer answer, Certainty certainty, Effect effect, Outcome otherwise) {
+    const bool certain = certainty == Certainty::Certain;
+    // true by its first line, whatever becomes of the rest; in doubt the call's own answer may never come
     if (answer.kind == AnswerKind::Delivered)
-        return {Outcome::Served, certainty == Certainty::Certain ? Fate::Over : Fate::OverIfConfirmed};
+        return {Outcome::Served, certain ? Fate::Over : Fate::StatusOwed};
     if (answer.kind == AnswerKind::None) return {otherwise, Fate::Open};
     if (!answer.whole) return {otherwise, forbids_another_call(answer.kind) ? Fate::StatusOwed : Fate::Open};
     const bool claims_nothing = answer.kind == AnswerKind::Error;  // it may have run in any case
-    if (certainty == Certainty::Certain || claims_nothing) return proved(answer.kind);
+    if (certain || claims_nothing) return proved(answer.kind);
     // the call is given up, and its own answer may never be read
     if (forbids_another_call(answer.kind)) return {Outcome::CalledOff, Fate::StatusOwed};
-    return repeatable ? proved(answer.kind) : CallEnd{Outcome::CalledOff, Fate::Open};
+    return effect == Effect::Retryable ? proved(answer.kind) : CallEnd{Outcome::CalledOff, Fate::Open};
 }
 
-NextUse next_use(AnswerKind kind, Certainty certainty, bool reusable) {
-    if (certainty == Certainty::Doubtful) return NextUse::None;
-    return reusable && kind == AnswerKind::Delivered ? NextUse::Calls : NextUse::Silence;
-}
-
-bool contradicts(AnswerKind surplus) {
-    return surplus != AnswerKind::None && surplus != AnswerKind::Delivered;
-}
-
-const char* text_of(Settlement settlement) {
-    switch (settlement) {
-        case Settlement::Confirmed:
-            return "confirmed";
-        case Settlement::ConnectionEnded:
-            return "the connection ended";
-        case Settlement::Contradicted:
-            return "another answer came later";
-        case Settlement::DescriptorNeeded:
-            return "its descriptor was needed";
-    }
-    return "";
-}
-
-Fate fate_after(Settlement settlement) {
-    return settlement == Settlement::Confirmed ? Fate::Over : Fate::StatusOwed;
+bool keeps_connection(AnswerKind kind, Certainty certainty, bool reusable) {
+    if (!reusable || kind == AnswerKind::None || kind == AnswerKind::Error) return false;
+    // behind a doubtful answer the call may still be out: it is given up before the message goes again
+    return kind == AnswerKind::Delivered || certainty == Certainty::Certain;
 }
 
 }  // namespace lockgw
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -20,11 +20,9 @@
 
 namespace {
 
-constexpr auto kAnswerWait = 1s;      // from the first byte of an answer to its last
-constexpr auto kLeastWait = 60s;      // a told wait is believed so far,
-constexpr int kWaitDeadlines = 5;     // or so many of the longest deadlines
-constexpr auto kLongestSilence = 3s;  // that a retired connection with strays is waited for
-constexpr auto kConfirmGrid = 250ms;  // so that many connections are confirmed in one turn
+constexpr auto kAnswerWait = 1s;   // from the first byte of an answer to its last
+constexpr auto kLeastWait = 60s;   // a told wait is believed so far,
+constexpr int kWaitDeadlines = 5;  // or so many of the longest deadlines
 
 /// No outage lasts so long that a longer wait would be worth heeding, and one spoilt figure must not shut a
 /// destination for good.
@@ -41,11 +39,6 @@
     return Clock::time_point(call.begin_by);
 }
 
-Clock::time_point next_on_grid(Clock::time_point when) {
-    const auto since = when.time_since_epoch();
-    return Clock::time_point((since / kConfirmGrid + 1) * Clock::duration(kConfirmGrid));
-}
-
 }  // namespace
 
 TargetConnection::TargetConnection(Targets& owner, EndpointId endpoint, const Tcp::endpoint& address)
@@ -57,9 +50,8 @@
     written_ = begun_writing_ = false;
     call_ = std::move(call);
     answer_ = Answer();
-    rest_ = Rest::None;
-    watched_ = false;
-    if (history_.rested(begun_)) settle(Settlement::Confirmed);
+    certainty_ = Certainty::Certain;
+    resting_ = false;
     history_.begin_call(begun_);
     if (socket_.is_open()) {
         socket_.cancel();  // the watch over a resting connection
@@ -89,8 +81,7 @@
     }));
 }
 void TargetConnection::expire() {
-    if (rest_ != Rest::None) return expire_rest();
-    if (!call_) return owner_.gone(shared_from_this());
+    if (resting_ || !call_) return owner_.gone(shared_from_this());
     if (written_) return end(answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     // its last byte may have gone out although nobody has said so yet
     if (begun_writing_) return end(Outcome::NoAnswer);
@@ -160,7 +151,8 @@
     if (call_ && answer_.says_delivered() && answer_.head_read()) {
         owner_.finishing(shared_from_this());
         const Call call = *std::exchange(call_, std::nullopt);
-        report(call, Outcome::Served, judge(call));
+        judge();
+        report(call, Outcome::Served);
     }
     read();
 }
@@ -172,49 +164,31 @@
 
 /// What came before the call's last byte was written is no answer to it.
 ObservedAnswer TargetConnection::observed() const { return written_ ? answer_.observed() : ObservedAnswer(); }
-/// Remembers the message if its delivery is unconfirmed.
-Certainty TargetConnection::judge(const Call& call) {
-    const bool delivered = observed().kind == AnswerKind::Delivered;
-    const Certainty certainty = history_.judge(delivered, answer_.keep_alive());
-    if (certainty == Certainty::Unconfirmed) history_.add_unconfirmed(call.message);
-    return certainty;
-}
+void TargetConnection::judge() { certainty_ = history_.judge(observed().kind, answer_.keep_alive()); }
 void TargetConnection::finish() {
     const auto self = shared_from_this();
     const auto call = std::exchange(call_, std::nullopt);
-    const Certainty certainty = call ? judge(*call) : Certainty::Certain;
-    if (call) log_doubt(*call, certainty);
-    const NextUse next = next_use(observed().kind, certainty, answer_.reusable());
-    const std::string surplus = answer_.take_rest();
-    history_.end_answer(Clock::now());
+    if (call) judge();
+    const bool keeps = keeps_connection(observed().kind, certainty_, answer_.reusable());
+    history_.end_answer(observed().kind, certainty_, Clock::now());
     // first: the decision on this outcome may want the connection
-    switch (next) {
-        case NextUse::Calls:
-            owner_.now_idle(self);
-            break;
-        case NextUse::Silence:
-            owner_.retire(self);
-            break;
-        case NextUse::None:
-            owner_.gone(self);
-            break;
-    }
-    if (call) report(*call, Outcome::Unreadable, certainty);
-    if (!surplus.empty()) take_surplus(surplus);
+    keeps ? owner_.now_idle(self) : owner_.gone(self);
+    if (call) report(*call, Outcome::Unreadable);
 }
 /// Nothing more is read: what has come so far decides.
 void TargetConnection::end(Outcome otherwise) {
     const auto self = shared_from_this();
     const auto call = std::exchange(call_, std::nullopt);
     if (call) {
-        const Certainty certainty = judge(*call);
-        log_doubt(*call, certainty);
-        report(*call, otherwise, certainty);
+        judge();
+        report(*call, otherwise);
     }
     owner_.gone(self);
 }
-void TargetConnection::report(const Call& call, Outcome otherwise, Certainty certainty) {
-    const CallEnd end = end_of_call(observed(), certainty, call.repeatable, otherwise);
+void TargetConnection::report(const Call& call, Outcome otherwise) {
+    const CallEnd end = end_of_call(observed(), certainty_, call.effect, otherwise);
+    log_doubt(call, end);
+    if (is_refusal(observed().kind)) owner_.refusal_seen(endpoint_);
     OutcomeEvent event;
     event.message = call.message;
     event.endpoint = call.endpoint;
@@ -228,50 +202,31 @@
     }
     owner_.ended(shared_from_this(), {event, end.fate});
 }
-/// One line for each call whose answer leaves open how it ended, though an answer came.
-void TargetConnection::log_doubt(const Call& call, Certainty certainty) const {
-    const Fate fate = end_of_call(observed(), certainty, call.repeatable, Outcome::Unreadable).fate;
-    const bool doubtful = certainty == Certainty::Doubtful && observed().kind != AnswerKind::None;
-    if (!doubtful && fate != Fate::StatusOwed) return;
+/// One line for each call whose answer leaves open how it ended. Not for deliveries: on a used connection
+/// each of them may be a copy.
+void TargetConnection::log_doubt(const Call& call, const CallEnd& end) const {
+    const AnswerKind kind = observed().kind;
+    if (kind == AnswerKind::None || kind == AnswerKind::Delivered) return;
+    if (certainty_ == Certainty::Certain && end.fate != Fate::StatusOwed) return;
     log::warn("delivery", "an answer leaves the end of its call open",
         {{"message", cometspoke::settings::id_text(call.message)}, {"attempt", call.attempt},
             {"target", address_text()}, {"status", answer_.status()}, {"whole", observed().whole},
-            {"answers", history_.answers()}, {"unconfirmed", history_.unconfirmed_count()},
-            {"then", fate == Fate::StatusOwed ? "final status reported" : "may be called again"}});
+            {"answers", history_.answers()},
+            {"then", end.fate == Fate::StatusOwed ? "final status reported" : "may be called again"}});
 }
 
 // ---- between calls ----
 
 /// A target's close is noticed at once, and so is an answer to which there is no call. The connection is left
 /// before the target may close it.
-void TargetConnection::rest_for(Clock::duration span) { begin_rest(Rest::ForCall, span); }
-void TargetConnection::retire() { begin_rest(Rest::ForSilence, kLongestSilence); }
-void TargetConnection::begin_rest(Rest rest, Clock::duration span) {
+void TargetConnection::rest_for(Clock::duration span) {
     ++turn_;
-    watched_ = false;
-    rest_ = rest;
-    rest_ends_ = Clock::now() + span;
-    wait_for_silence();
+    resting_ = true;
+    wait_until(Clock::now() + span);
     watch();
 }
-void TargetConnection::wait_for_silence() {
-    const auto silent_at = next_on_grid(Clock::now() + ConnectionHistory::kRestTime);
-    wait_until(history_.has_unconfirmed() ? std::min(rest_ends_, silent_at) : rest_ends_);
-}
-void TargetConnection::expire_rest() {
-    settle(Settlement::Confirmed);
-    if (rest_ == Rest::ForSilence || Clock::now() >= rest_ends_) return owner_.gone(shared_from_this());
-    wait_until(rest_ends_);
-}
-void TargetConnection::settle(Settlement settlement) {
-    if (history_.has_unconfirmed()) owner_.settled(history_.take_unconfirmed(), settlement);
-}
 void TargetConnection::watch() {
-    if (std::exchange(watched_, true)) return;
-    socket_.async_wait(Tcp::socket::wait_read, guarded([this](auto) {
-        watched_ = false;
-        read_surplus();
-    }));
+    socket_.async_wait(Tcp::socket::wait_read, guarded([this](auto) { read_surplus(); }));
 }
 bool TargetConnection::silent() {
     char byte;
@@ -282,36 +237,34 @@
     boost::system::error_code failed;
     const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
     if (failed == asio::error::would_block) return watch();
-    if (failed) return owner_.gone(shared_from_this());
-    take_surplus({owner_.in_.data(), count});
+    if (!failed) return take_surplus({owner_.in_.data(), count});
+    owner_.gone(shared_from_this());
 }
-/// More answers than calls. If all of them say 200, so did the own answers of all calls among them; any other
-/// status may be the own answer of a call whose delivery is unconfirmed.
+/// More answers than calls: the connection is closed. A server that ends an idle connection may say so by an
+/// answer; that is no copy. What comes together with an answer is not looked at: it closes the connection
+/// before it could cross a call, and garbled answers end so too.
 void TargetConnection::take_surplus(std::string_view bytes) {
-    const auto self = shared_from_this();
-    if (!std::exchange(surplus_seen_, true)) answer_ = Answer();
-    bool only_deliveries = true;
+    if (only_copies(bytes)) owner_.stray_seen(*this);
+    owner_.gone(shared_from_this());
+}
+/// Whether each answer, as far as it has come, is like an earlier one of this connection.
+bool TargetConnection::only_copies(std::string_view bytes) const {
     std::string rest(bytes);
-    while (!rest.empty() && only_deliveries) {
-        const Answer::State state = answer_.feed(rest);
-        only_deliveries = state != Answer::State::Spoilt && !contradicts(answer_.observed().kind);
-        if (state != Answer::State::Whole) break;
-        rest = answer_.take_rest();
-        answer_ = Answer();
+    while (!rest.empty()) {
+        Answer surplus;
+        const Answer::State state = surplus.feed(rest);
+        const AnswerKind kind = surplus.observed().kind;
+        if (state == Answer::State::Spoilt) return false;
+        if (kind != AnswerKind::None && !history_.may_be_copy(kind, surplus.keep_alive())) return false;
+        if (state != Answer::State::Whole) return true;
+        rest = surplus.take_rest();
     }
-    // a server that ends an idle connection may say so by an answer of another status: that is no copy
-    if (only_deliveries) owner_.stray_seen(*this);
-    if (!only_deliveries) settle(Settlement::Contradicted);
-    if (!history_.has_unconfirmed()) return owner_.gone(self);
-    if (rest_ == Rest::ForCall) return owner_.retire(self);
-    wait_for_silence();
-    watch();
+    return true;
 }
 
 void TargetConnection::close() {
     ++turn_;
-    watched_ = false;
-    rest_ = Rest::None;
+    resting_ = false;
     boost::system::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
--- a/src/deliveries/http/target_connection.hpp
+++ b/src/deliveries/http/target_connection.hpp
@@ -1,8 +1,6 @@
 /// One connection to a target, which carries one call at a time.
 ///
 /// Owned by Targets and by its pending handlers. What its answers prove is decided by ConnectionHistory.
-/// Connections with unconfirmed deliveries are read until they have rested, also when they are no longer
-/// used.
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +13,7 @@
 
 #include "core/delivery.hpp"
 #include "deliveries/http/answer.hpp"
+#include "deliveries/http/answer_meaning.hpp"
 #include "deliveries/http/connection_history.hpp"
 
 namespace lockgw {
@@ -31,7 +30,6 @@
     const Tcp::endpoint& address() const { return address_; }
     /// For the log.
     std::string address_text() const;
-    ConnectionHistory& history() { return history_; }
     const ConnectionHistory& history() const { return history_; }
 
     /// Writes the call, connecting first if it is new.
@@ -44,8 +42,6 @@
 
     /// Rests for `span` at most, until the next call.
     void rest_for(Clock::duration span);
-    /// Carries no more calls; read until it has rested, then closed.
-    void retire();
     /// Whether nothing has arrived at a resting connection: a close or an answer that the event loop has not
     /// reported yet.
     bool silent();
@@ -54,13 +50,6 @@
     void close();
 
 private:
-    /// What a connection without a call waits for.
-    enum class Rest {
-        None,        ///< a call is out, or the rest of an answer whose call has its outcome
-        ForCall,     ///< the next call
-        ForSilence,  ///< nothing: it is retired
-    };
-
     /// Handlers of an earlier call or of a closed connection must not touch the present one.
     template <class Handler>
     auto guarded(Handler handler) {
@@ -70,7 +59,6 @@
     }
     void wait_until(Clock::time_point when);
     void expire();
-    void expire_rest();
     bool open();
     void write();
     void not_sent();
@@ -80,14 +68,12 @@
     void finish();
     void end(cometspoke::Outcome otherwise);
     ObservedAnswer observed() const;
-    Certainty judge(const Call& call);
+    void judge();
     /// `otherwise`: the outcome of a call without a whole answer.
-    void report(const Call& call, cometspoke::Outcome otherwise, Certainty certainty);
-    void log_doubt(const Call& call, Certainty certainty) const;
-    void begin_rest(Rest rest, Clock::duration span);
+    void report(const Call& call, cometspoke::Outcome otherwise);
+    void log_doubt(const Call& call, const CallEnd& end) const;
     void watch();
-    void wait_for_silence();
-    void settle(Settlement settlement);
+    bool only_copies(std::string_view bytes) const;
     void take_surplus(std::string_view bytes);
 
     Targets& owner_;
@@ -103,10 +89,8 @@
     boost::beast::http::request<boost::beast::http::string_body> request_;
     Answer answer_;
     ConnectionHistory history_;
-    Rest rest_ = Rest::None;
-    Clock::time_point rest_ends_{};
-    bool watched_ = false;  // a handler waits for bytes while it rests
-    bool surplus_seen_ = false;
+    Certainty certainty_ = Certainty::Certain;  // of the answer to the present call
+    bool resting_ = false;                      // until the next call
 };
 
 }  // namespace lockgw
--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -13,20 +13,6 @@
 using cometspoke::Time;
 using Clock = std::chrono::steady_clock;
 
-namespace {
-
-/// Their ids, parted by commas.
-std::string ids_text(const std::vector<MessageId>& messages) {
-    std::string text;
-    for (const MessageId message : messages) {
-        if (!text.empty()) text.push_back(',');
-        text.append(cometspoke::settings::id_text(message));
-    }
-    return text;
-}
-
-}  // namespace
-
 EndpointId endpoint_of(const TargetConnectionPtr& connection) { return connection->endpoint(); }
 
 Targets::Targets(
@@ -45,6 +31,7 @@
 void Targets::forget(EndpointId endpoint) {
     addresses_.erase(endpoint);
     strays_.forget(endpoint);
+    refusals_.forget(endpoint);
     stop_new_calls(endpoint);
 }
 
@@ -80,18 +67,23 @@
 }
 
 void Targets::close_idle(EndpointId endpoint) {
-    while (const Connection connection = idle_.newest_of(endpoint)) retire(connection);
+    while (const Connection connection = idle_.newest_of(endpoint)) gone(connection);
 }
 
-/// The newest connection that has rested; for a message that may be repeated freely else the newest one.
+/// The newest connection that may carry the call. Those over which a refusal would prove nothing are kept for
+/// messages that may be repeated freely, where there are any.
 Targets::Connection Targets::take_idle(const Call& call) {
     const auto now = Clock::now();
-    const auto rested = [now](const TargetConnection& one) { return one.history().rested(now); };
+    const bool refuses = refusals_.refuses(call.endpoint, now);
+    const bool repeatable = call.effect == cometspoke::Effect::Retryable;
+    const auto preferred = [&](const TargetConnection& one) {
+        return one.history().proves_refusals(now) != repeatable;
+    };
     const auto usable = [&](const TargetConnection& one) {
-        return one.history().may_carry(call.repeatable, now);
+        return one.history().may_carry(call.effect, refuses, now);
     };
     while (true) {
-        Connection connection = idle_.newest_of(call.endpoint, rested);
+        Connection connection = idle_.newest_of(call.endpoint, preferred);
         if (!connection) connection = idle_.newest_of(call.endpoint, usable);
         if (!connection) return nullptr;
         if (connection->silent()) {
@@ -109,7 +101,7 @@
     const auto span = config_.settings.conn_idle * 9 / 10;
     if (address == addresses_.end() || address->second != connection->address() || span <= Time(0) ||
         strays_.single_use(endpoint, Clock::now()))
-        return retire(connection);
+        return gone(connection);
     finishing_.remove(connection);
     idle_.add(connection);
     connection->rest_for(span);
@@ -117,15 +109,6 @@
 
 void Targets::finishing(const Connection& connection) { finishing_.add(connection); }
 
-/// It gets no more calls. Closed at once, unless deliveries over it are unconfirmed.
-void Targets::retire(const Connection& connection) {
-    if (!connection->history().has_unconfirmed()) return gone(connection);
-    idle_.remove(connection);
-    finishing_.remove(connection);
-    finishing_.add(connection);
-    connection->retire();
-}
-
 void Targets::stray_seen(const TargetConnection& connection) {
     const auto span = strays_.record(connection.endpoint(), Clock::now());
     log::warn("delivery", "more answers than calls: connections are not reused",
@@ -134,20 +117,14 @@
     close_idle(connection.endpoint());
 }
 
-/// One line for each connection: it names every message whose delivery was not confirmed.
-void Targets::settled(const std::vector<MessageId>& messages, Settlement settlement) {
-    if (settlement != Settlement::Confirmed)
-        log::warn("delivery", "deliveries are not confirmed",
-            {{"why", text_of(settlement)}, {"count", messages.size()}, {"messages", ids_text(messages)}});
-    callbacks_.on_settled(messages, fate_after(settlement));
+void Targets::refusal_seen(EndpointId endpoint) {
+    if (addresses_.contains(endpoint)) refusals_.record(endpoint, Clock::now());
 }
 
 void Targets::drop(const Connection& connection) {
     idle_.remove(connection);
     finishing_.remove(connection);
     connection->close();
-    if (auto& history = connection->history(); history.has_unconfirmed())
-        settled(history.take_unconfirmed(), Settlement::ConnectionEnded);
 }
 
 /// One that ended by itself: its descriptor is the next call's before it is anybody's.
@@ -164,11 +141,7 @@
 bool Targets::drop_one() {
     const IdlePool& from = idle_.empty() ? finishing_ : idle_;
     if (from.empty()) return false;
-    const Connection connection = from.oldest();
-    // other calls cannot wait until it has rested
-    if (auto& history = connection->history(); history.has_unconfirmed())
-        settled(history.take_unconfirmed(), Settlement::DescriptorNeeded);
-    drop(connection);
+    drop(from.oldest());
     return true;
 }
 /// For somebody else: not the one that the next call needs.
--- a/src/deliveries/http/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -12,8 +12,8 @@
 
 #include "base/spare_descriptor.hpp"
 #include "core/delivery.hpp"
-#include "deliveries/http/answer_meaning.hpp"
 #include "deliveries/http/idle_pool.hpp"
+#include "deliveries/http/refusal_record.hpp"
 #include "deliveries/http/stray_record.hpp"
 
 namespace lockgw {
@@ -42,9 +42,8 @@
     void not_sent(const Call& call);
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
-    void retire(const Connection& connection);
     void stray_seen(const TargetConnection& connection);
-    void settled(const std::vector<MessageId>& messages, Settlement settlement);
+    void refusal_seen(EndpointId endpoint);
     void drop(const Connection& connection);
     void gone(const Connection& connection);
     void ended(const Connection& connection, const CallResult& result);
@@ -59,8 +58,9 @@
     IdlePool idle_;  // by endpoint, and in the order of their last use
     // Of what clients and others may take, one call can always be made: it is out, idle, or kept here.
     SpareDescriptor spare_;
-    IdlePool finishing_;  // not for calls any more: an answer goes on, or deliveries are unconfirmed
+    IdlePool finishing_;  // of calls that have their outcome: the rest of the answer is read
     StrayRecord strays_;
+    RefusalRecord refusals_;
 };
 
 }  // namespace lockgw
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -300,8 +300,8 @@
 }
 
 void DiscoveryClient::confirm_without_agent(MessageId id, const FinalStatus& notice) {
-    log::info("core", "ended",
-        {{"message", cometspoke::settings::id_text(id)}, {"as", notice.refused ? "bounced" : "dead"}});
+    const char* as = notice.refused ? "bounced" : notice.perhaps_delivered ? "delivered" : "dead";
+    log::info("core", "ended", {{"message", cometspoke::settings::id_text(id)}, {"as", as}});
     boost::asio::post(io_, [this, id] { on_confirmed_(id); });
 }
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -409,10 +409,6 @@
     write(Writer(never_ran ? Kind::NeverRan : Kind::MayHaveRun).number(id).bytes());
 }
 void Journal::delivered(MessageId id) { write(Writer(Kind::Delivered).number(id).bytes()); }
-void Journal::delivered_unconfirmed(MessageId id) { write(unconfirmed_record(id)); }
-bool Journal::has_spare_room() const {
-    return 2 * live_ < static_cast<std::size_t>(kLiveShare * static_cast<double>(most_));
-}
 void Journal::confirmed(MessageId id) { write(Writer(Kind::Confirmed).number(id).bytes()); }
 void Journal::end(MessageId id, FinalStatus notice) {
     Writer writer(Kind::Ended);
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -52,7 +52,8 @@
     std::optional<BegunAttempt> doubt;  ///< the first attempt that may have run
     std::optional<BegunAttempt> out;    ///< the one without an outcome
     std::optional<FinalStatus> notice;  ///< the message is over, and this is not confirmed yet
-    bool unconfirmed = false;           ///< delivered, by an answer that may belong to another call
+    /// Delivered, by an answer that may belong to another call; told by journals of an older build alone.
+    bool unconfirmed = false;
     /// Still to be delivered or ended.
     bool owed() const { return !notice && !unconfirmed; }
     /// The first attempt that may have run if the process ended now.
@@ -111,10 +112,6 @@
     /// The attempt that is out has an outcome.
     void end_attempt(MessageId id, bool never_ran);
     void delivered(MessageId id);
-    /// Delivered as far as is known: the entry stays until delivered() or end().
-    void delivered_unconfirmed(MessageId id);
-    /// Less than half of the room for entries is used: those of unconfirmed deliveries may stay for a while.
-    bool has_spare_room() const;
     void end(MessageId id, FinalStatus notice);
     void confirmed(MessageId id);
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -100,6 +100,39 @@
     return bytes;
 }
 
+// A build before this one kept deliveries in doubt by a record of their own. They are not owed a call, and
+// are kept until their final status is told, also over a compaction.
+TEST(Journal, ReadsADeliveryInDoubtOfAnOlderBuild) {
+    constexpr char kDeliveredUnconfirmed = 11;
+    TemporaryFolder folder;
+    std::filesystem::path file;
+    {
+        Journal journal(folder.path(), kRoom);
+        ASSERT_TRUE(journal.take_on(make_message(1)));
+        ASSERT_TRUE(journal.begin_attempt(1, "s-1", kNow));
+        journal.delivered(1);
+    }
+    for (const auto& entry : std::filesystem::directory_iterator(folder.path())) file = entry.path();
+    auto records = records_of(bytes_of(file));
+    records.back()[0] = kDeliveredUnconfirmed;
+    write_bytes(file, file_of(records));
+    for (int restart = 0; restart < 2; ++restart) {  // the second reads what the first compacted
+        Journal journal(folder.path(), kRoom);
+        ASSERT_NE(journal.find(1), nullptr);
+        EXPECT_TRUE(journal.find(1)->unconfirmed);
+        EXPECT_EQ(journal.unended(), 0u);
+    }
+    {
+        Journal journal(folder.path(), kRoom);
+        journal.end(1, {});
+        EXPECT_FALSE(journal.find(1)->unconfirmed);
+    }
+    Journal journal(folder.path(), kRoom);
+    EXPECT_TRUE(journal.find(1)->notice);
+    journal.confirmed(1);
+    EXPECT_EQ(Journal(folder.path(), kRoom).entries().size(), 0u);
+}
+
 // Both clocks of an attempt and of a deadline outlast the process and a compaction; a folder of a build that
 // wrote down the wall clock alone is read by that.
 TEST(Journal, KeepsBothClocks) {
--- a/tests/node_fixture.hpp
+++ b/tests/node_fixture.hpp
@@ -50,6 +50,25 @@
         }
         return true;
     }
+    /// The first final status of the message that is reported within `span`, else null. Reports are
+    /// acknowledged.
+    Json final_status_of(const std::string& message, std::chrono::milliseconds span) {
+        const auto until = Clock::now() + span;
+        while (Clock::now() < until) {
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Clock::now());
+            if (agent.no_request_within(left)) break;
+            const Exchange request = agent.next();
+            if (request.request.target() != "/reports") {
+                watches.push_back(request);
+                continue;
+            }
+            const auto statuses = final_statuses(request);
+            request.write("HTTP/1.1 204 X\r\n\r\n");
+            for (const Json& status : statuses)
+                if (status.at("ref") == message) return status;
+        }
+        return nullptr;
+    }
     /// The final statuses in a report, one JSON line each.
     std::vector<Json> final_statuses(const Exchange& report) {
         std::vector<Json> lines;
