--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
-#include <fstream>
+
+#include "base/read_file.hpp"
 
 namespace lockgw {
 namespace {
@@ -93,9 +94,9 @@
 }
 
 Config config_of_file(const std::string& path) {
-    std::ifstream stream(path);
-    if (!stream) throw BadInput("NODE_CONFIG cannot be read: " + path);
-    Json file = Json::parse(stream);
+    const auto text = read_file(path);
+    if (!text) throw BadInput("NODE_CONFIG cannot be read: " + path);
+    Json file = Json::parse(*text);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
     return read_config(std::move(file));
 }
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/system/system_error.hpp>
 #include <memory>
 #include <utility>
 
@@ -107,7 +108,7 @@
     boost::system::error_code failed;
     acceptor_.bind(Local::endpoint(path.string()), failed);
     ::umask(before);
-    if (failed) throw std::runtime_error("the control socket " + path.string() + ": " + failed.message());
+    if (failed) throw boost::system::system_error(failed, "the control socket " + path.string());
     path_ = path;
     acceptor_.listen(static_cast<int>(kMostConnections));
     accept();
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 #include "base/condition.hpp"
+#include "base/read_file.hpp"
 #include "core/admission_limits.hpp"
 #include "core/clocks.hpp"
 #include "core/descriptor_budget.hpp"
@@ -36,12 +35,11 @@
 /// process. The target list in it replaces the one of the configuration. None if there is no valid state.
 std::optional<handover::Known> read_hand_over_state(Config& config) {
     const auto path = config.state / kHandOverStateFile;
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) return std::nullopt;
-    const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
+    const auto bytes = read_file(path);
+    if (!bytes) return std::nullopt;
     std::error_code ignored;
     std::filesystem::remove(path, ignored);
-    auto known = handover::known_of(bytes, steady_now());
+    auto known = handover::known_of(*bytes, steady_now());
     if (known && known->list.is_object()) config.known = known->list;
     return known;
 }
--- a/src/core/maintenance.cpp
+++ b/src/core/maintenance.cpp
@@ -6,9 +6,8 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <charconv>
-#include <fstream>
-#include <iterator>
 
+#include "base/read_file.hpp"
 #include "base/write_all.hpp"
 #include "core/clocks.hpp"
 #include "logging/log.hpp"
@@ -49,8 +48,7 @@
 void Maintenance::start() {
     if (!config_.work.on || !cluster_.enabled()) return;
     const auto path = config_.state / kRecordFile;
-    std::ifstream stream(path, std::ios::binary);
-    const std::string stored{std::istreambuf_iterator<char>(stream), {}};
+    const std::string stored = read_file(path).value_or("");
     work::CrewSettings settings;
     settings.own = static_cast<Number>(config_.settings.own_number), settings.members = member_count();
     settings.process = cluster_.incarnation(), settings.seed = config_.seed ^ settings.process;
--- a/src/core/recovery_coordinator.cpp
+++ b/src/core/recovery_coordinator.cpp
@@ -4,9 +4,8 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <fstream>
-#include <iterator>
 
+#include "base/read_file.hpp"
 #include "base/write_all.hpp"
 #include "core/clocks.hpp"
 #include "logging/log.hpp"
@@ -72,10 +71,9 @@
 
 void RecoveryCoordinator::read_snapshot() {
     const auto path = dependencies_.config.state / kSnapshotFile;
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) return;
-    const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
-    const Read found = snapshot_of(bytes);
+    const auto bytes = read_file(path);
+    if (!bytes) return;
+    const Read found = snapshot_of(*bytes);
     if (!found.snapshot) return log::warn("return", "the snapshot cannot be read", {{"why", found.why}});
     snapshot_time_ = found.snapshot->at;
     valid_facts_ = valid_facts(*found.snapshot, moment_now());
--- a/src/fronts/resp2/listener.cpp
+++ b/src/fronts/resp2/listener.cpp
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <boost/system/system_error.hpp>
 #include <cerrno>
 #include <stdexcept>
 
@@ -25,7 +26,7 @@
         epoll_event wanted{};
         wanted.events = EPOLLIN;
         if (epoll < 0 || epoll_ctl(epoll, EPOLL_CTL_ADD, *config.listen_fd, &wanted) != 0)
-            throw std::runtime_error("NODE_LISTEN_FD cannot be waited for: " + last_error().message());
+            throw boost::system::system_error(last_error(), "NODE_LISTEN_FD cannot be waited for");
         watch_.assign(epoll);
         inherited_ = config.listen_fd;
         return;
--- a/src/handover/lock_files.cpp
+++ b/src/handover/lock_files.cpp
@@ -4,7 +4,7 @@
 #include <sys/file.h>
 
 #include <cerrno>
-#include <stdexcept>
+#include <system_error>
 
 #include "logging/log.hpp"
 
@@ -13,7 +13,9 @@
 
 Descriptor opened(const std::filesystem::path& path) {
     Descriptor file(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
-    if (file.get() < 0) throw std::runtime_error("the lock " + path.string() + " cannot be opened");
+    if (file.get() < 0)
+        throw std::system_error(
+            errno, std::generic_category(), "the lock " + path.string() + " cannot be opened");
     return file;
 }
 
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 
+#include "base/passing_error.hpp"
 #include "config/address.hpp"
 #include "config/stand_alone.hpp"
 #include "discovery/target_list.hpp"
@@ -91,6 +92,7 @@
         loaded.config.sockets = within_own_limit(loaded.config.sockets);
         const cometspoke::Sender checked(loaded.config.settings, loaded.config.seed);
     } catch (const std::exception& bad) {
+        if (is_passing(bad)) throw;
         problems.add({}, sources.node_config.empty() ? "settings" : "node-config", bad.what());
         return std::nullopt;
     }
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,7 +1,10 @@
 /// `lockgw run`: who owns the folder, and when. Design: docs/handover.md.
+#include <algorithm>
 #include <csignal>
+#include <optional>
 #include <thread>
 
+#include "base/passing_error.hpp"
 #include "logging/log.hpp"
 #include "program/commands.hpp"
 #include "program/service.hpp"
@@ -17,6 +20,10 @@
 // before is about to end.
 constexpr std::chrono::milliseconds kEnding{2000}, kEndingStep{10};
 
+// A restarted process has to be ready within 10 s.
+constexpr std::chrono::milliseconds kStartRetries{8000};
+constexpr std::chrono::milliseconds kFirstStartPause{50}, kLongestStartPause{500};
+
 std::string plain(std::string what) {
     for (char& letter : what)
         if (letter == '\n') letter = ' ';
@@ -110,16 +117,41 @@
     }
 }
 
+/// Starts again after failures that pass, for kStartRetries at most; throws what does not pass. A stretch of
+/// service ends the count.
+void serve_through_passing_errors(const Sources& sources, const std::string& control) {
+    using Clock = std::chrono::steady_clock;
+    auto pause = kFirstStartPause;
+    auto first_failure = Clock::time_point::max();
+    std::optional<EndSignal> end_signal;
+    while (!end_is_pending()) {
+        const auto begun = Clock::now();
+        try {
+            if (!end_signal) end_signal.emplace();
+            return serve_in_turn(sources, control, *end_signal);
+        } catch (const std::exception& failure) {
+            const auto now = Clock::now();
+            if (now - begun > kStartRetries) first_failure = now, pause = kFirstStartPause;
+            first_failure = std::min(first_failure, now);
+            if (!is_passing(failure) || now - first_failure > kStartRetries) throw;
+            log::warn("program", "the start failed and is tried again",
+                {{"why", plain(failure.what())}, {"in_ms", pause.count()}});
+        }
+        hold_signals_back();
+        std::this_thread::sleep_for(pause);
+        pause = std::min(2 * pause, kLongestStartPause);
+    }
+}
+
 }  // namespace
 
 int serve(const Sources& sources, const std::string& control) {
     hold_signals_back();            // until a loop heeds them: one that comes during the start waits for it
     std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more
-    EndSignal end_signal;
     log::start({});
     int code = kWell;
     try {
-        serve_in_turn(sources, control, end_signal);
+        serve_through_passing_errors(sources, control);
     } catch (const std::exception& bad) {
         log::error("program", "cannot start", {{"why", plain(bad.what())}});
         code = kWrong;
--- a/src/program/signals.hpp
+++ b/src/program/signals.hpp
@@ -24,6 +24,13 @@
     pthread_sigmask(SIG_UNBLOCK, &all, nullptr);
 }
 
+/// A SIGTERM or SIGINT is held back.
+inline bool end_is_pending() {
+    sigset_t pending;
+    return sigpending(&pending) == 0 &&
+           (sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1);
+}
+
 /// Whether this process was told to end (SIGTERM, SIGINT) since this was made. It outlives the loops: a loop
 /// that stops in the very moment in which such a signal comes has taken it from the system, and never tells
 /// of it.
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -7,11 +7,11 @@
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
+#include "base/read_file.hpp"
 #include "base/write_all.hpp"
 
 namespace lockgw {
@@ -266,13 +266,14 @@
     file_ =
         Descriptor(::open((folder_ / "journal").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC | O_APPEND, 0600));
     if (file_.get() < 0 || ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0)
-        throw std::runtime_error("the journal in " + folder_.string() + " cannot be written");
+        throw std::system_error(
+            errno, std::generic_category(), "the journal in " + folder_.string() + " cannot be written");
 }
 
 void Journal::recover() {
-    std::ifstream stream(folder_ / "journal", std::ios::binary);
-    found_ = stream.is_open();
-    const std::string bytes{std::istreambuf_iterator<char>(stream), {}};
+    const std::optional<std::string> file = read_file(folder_ / "journal");
+    found_ = file.has_value();
+    const std::string bytes = file.value_or("");
     while (const auto record = unframed(std::string_view(bytes).substr(size_))) {
         if (!apply(*record)) break;
         size_ += kHeader + record->size();
--- a/src/store/orders_file.cpp
+++ b/src/store/orders_file.cpp
@@ -7,11 +7,11 @@
 
 #include <cerrno>
 #include <chrono>
-#include <fstream>
-#include <iterator>
+#include <system_error>
 #include <thread>
 #include <utility>
 
+#include "base/read_file.hpp"
 #include "base/write_all.hpp"
 #include "logging/log.hpp"
 
@@ -42,11 +42,10 @@
 void OrdersFile::read() {
     read_at_ = stamp();
     if (read_at_.size < 0) return void(now_ = {});
-    std::ifstream stream(path_, std::ios::binary);
-    const std::string text{std::istreambuf_iterator<char>(stream), {}};
-    if (!stream && text.empty()) return;  // no descriptor: what is known stays in force
+    const auto text = read_file(path_);
+    if (!text) return void(now_ = {});
     try {
-        now_ = operations::Operations::of(text);
+        now_ = operations::Operations::of(*text);
     } catch (const std::exception& bad) {
         log::error("store", "the orders cannot be read and are set aside", {{"why", bad.what()}});
         std::error_code ignored;
@@ -58,7 +57,12 @@
 bool OrdersFile::look() {
     if (stamp() == read_at_) return false;
     const operations::Operations before = now_;
-    read();
+    try {
+        read();
+    } catch (const std::system_error& failed) {  // what is known stays in force until it can be read
+        log::warn("store", "the orders cannot be read now", {{"why", failed.what()}});
+        read_at_ = {};
+    }
     return !(now_ == before);
 }
 
--- a/tests/descriptor_exhaustion_test.cpp
+++ b/tests/descriptor_exhaustion_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 
 #include "discovery_fixture.hpp"
+#include "node_fixture.hpp"
 
 namespace lockgw {
 namespace {
@@ -170,5 +171,43 @@
     EXPECT_TRUE(eventually([&] { return targets.effects_by_id().contains(last); })) << node.log();
 }
 
+// Calls of a start that need a descriptor fail for a moment, one after another or three in a row: the start
+// goes on within the 10 s in which a restarted process has to be ready, and owes what it owed before. A
+// journal that cannot be opened must not pass for an empty one.
+class StartWithoutDescriptors : public NodeTest, public ::testing::WithParamInterface<int> {
+protected:
+    static constexpr int kCallsOfAStart = 48;  // those behind it belong to what is served
+    static constexpr int kParts = 8;
+
+    bool ready_within(Clock::duration span) {
+        const auto until = Clock::now() + span;
+        while (Clock::now() < until) try {
+                if (node.client().ask({"PING"}) == "+PONG") return true;
+            } catch (const boost::system::system_error&) {
+                std::this_thread::sleep_for(10ms);
+            }
+        return false;
+    }
+    void expect_owed_after_failures(int first, int count) {
+        node.kill(), node.wait();
+        node.set_environment("LD_PRELOAD", FAILING_CALLS_PATH);
+        node.set_environment("LOCKGW_FAILING_CALLS", std::to_string(first) + " " + std::to_string(count));
+        node.start();
+        ASSERT_TRUE(ready_within(9s)) << "call " << first << ", " << count << "\n" << node.log();
+        EXPECT_EQ(target.next().header("X-Call-Id"), id) << "call " << first << ", " << count << "\n"
+                                                         << node.log();
+    }
+};
+TEST_P(StartWithoutDescriptors, GoesOnAndOwesWhatItOwed) {
+    node.config()["settings"]["limits"]["max_attempts"] = 1000;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "safe", 50'000), "+OK");
+    EXPECT_EQ(target.next().header("X-Call-Id"), id);
+    for (int first = GetParam(); first < kCallsOfAStart; first += kParts)
+        for (const int count : {1, 3}) expect_owed_after_failures(first, count);
+}
+INSTANTIATE_TEST_SUITE_P(DescriptorExhaustion, StartWithoutDescriptors, ::testing::Range(0, 8));
+
 }  // namespace
 }  // namespace lockgw
