Targets: a wait in an answer to no call is heeded

The checker now tells which wait a call ignores and which call's answer told it: a 429 that was the own answer of a call in whose place a copy had been read. It came as a surplus answer, which was thrown away, or behind a doubtful refusal, whose connection was closed at once.

A connection whose last answer was doubtful and that carries no more calls is half-closed, which gives up a call that may still be out, and read for 1 s.

--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -145,16 +145,29 @@
     bool was_told(const ObservedWait& wait) const {
         return !seen_.messages.at(wait.message).calls[wait.call].answer_unwritten;
     }
-    void check_waits() {
+    bool ignores(const ObservedMessage& message, const ObservedCall& call, const ObservedWait& wait) const {
         const Milliseconds crossing = kWaitCrossing + kSlack + both_ways() + hold_up();
+        return wait.target == call.target && wait.forwarder == message.forwarder && was_told(wait) &&
+               call.received > wait.written + crossing && call.received < wait.until &&
+               !restarted_between(wait.forwarder, wait.written, call.received);
+    }
+    void check_waits() {
         each_call([&](const std::string& id, const ObservedMessage& message, const ObservedCall& call) {
             for (const ObservedWait& wait : seen_.waits)
-                if (wait.target == call.target && wait.forwarder == message.forwarder && was_told(wait) &&
-                    call.received > wait.written + crossing && call.received < wait.until &&
-                    !restarted_between(wait.forwarder, wait.written, call.received))
-                    broken(Rule::WaitIgnored, id);
+                if (ignores(message, call, wait)) broken(Rule::WaitIgnored, id);
         });
     }
+    /// The wait that the call ignores, and the call whose answer told it.
+    void tell_ignored_wait(
+        std::ostream& out, const ObservedMessage& message, const ObservedCall& call) const {
+        for (const ObservedWait& wait : seen_.waits) {
+            if (!ignores(message, call, wait)) continue;
+            const ObservedCall& told = seen_.messages.at(wait.message).calls[wait.call];
+            out << ", which ignores the wait from " << seconds(wait.written) << " to " << seconds(wait.until)
+                << ", told to " << wait.message << " on connection " << told.connection << ", called at "
+                << seconds(told.received);
+        }
+    }
 
     // ---- the story of a message ----
 
@@ -174,6 +187,7 @@
         for (const ObservedCall& call : message.calls) {
             out << "\n  called t" << call.target << " on connection " << call.connection << " at "
                 << seconds(call.received);
+            tell_ignored_wait(out, message, call);
             if (!call.ended) continue;
             out << ", " << (call.status == 0 ? "given up" : std::to_string(call.status)) << " at "
                 << seconds(*call.ended) << (call.answer_lost && call.status != 0 ? ", perhaps lost" : "");
--- a/src/core/delivery.hpp
+++ b/src/core/delivery.hpp
@@ -48,12 +48,15 @@
 class Delivery {
 public:
     using OutcomeCallback = std::function<void(const CallResult&)>;
+    /// An endpoint told a wait by an answer to which there is no call any more.
+    using WaitCallback = std::function<void(EndpointId, cometspoke::Time)>;
     /// Whether the call may still be sent to the process at this address. Asked once per call, right before
     /// its first byte is written. If it returns false the outcome is NotSent: the call has certainly not run.
     using SendGate = std::function<bool(const Call&, const Tcp::endpoint&)>;
     struct Callbacks {
         SendGate may_send;
         OutcomeCallback on_outcome;
+        WaitCallback on_wait{};  ///< may be empty
     };
 
     virtual ~Delivery() = default;
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -11,6 +11,7 @@
 #include "core/descriptor_budget.hpp"
 #include "core/subset_parameters.hpp"
 #include "logging/log.hpp"
+#include "policy/state.hpp"
 
 namespace lockgw {
 
@@ -66,7 +67,8 @@
       planner_(subset_parameters(config_), config_.spread),
       delivery_(protocols.delivery(io, config_, max_target_connections(config_),
           {[this](const Call& call, const Tcp::endpoint& address) { return may_send(call, address); },
-              [this](const CallResult& result) { handle_outcome(result); }})),
+              [this](const CallResult& result) { handle_outcome(result); },
+              [this](EndpointId endpoint, Time wait) { handle_wait(endpoint, wait); }})),
       discovery_(
           io,
           {config_.discovery, config_.known, cometspoke::settings::names_in(config_.names.zones),
@@ -260,6 +262,19 @@
     stop_if_done();
 }
 
+/// A wait that belongs to no call: it is recorded and heeded like that of an outcome.
+void Forwarder::handle_wait(EndpointId endpoint, Time wait) {
+    const auto& endpoints = sender_.state().endpoints_;
+    const auto found = endpoints.find(endpoint);
+    if (found == endpoints.end()) return;
+    const std::int64_t destination = found->second.destination;
+    schedule_turn();
+    recovery_.record_retry_after(endpoint, destination, wait);
+    cometspoke::LearnedEvent event;
+    event.endpoints.push_back({endpoint, destination, steady_now() + wait, {}, {}});
+    observe(event);
+}
+
 /// Records what is left to do for a message that gets no further call. `served`: the call was answered 200.
 void Forwarder::record_end(MessageId id, Fate fate, bool served) {
     if (fate == Fate::StatusOwed) {
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -155,6 +155,7 @@
     void submit(Message message, cometspoke::Time left, ReplyCallback on_reply) override;
     bool free_descriptor() override { return delivery_->close_one_idle(); }
     void handle_outcome(const CallResult& result);
+    void handle_wait(EndpointId endpoint, cometspoke::Time wait);
     void record_end(MessageId id, Fate fate, bool served);
     void observe(const cometspoke::Event& event);
     void notify_module(const cometspoke::Event& event);
--- a/src/deliveries/http/connection_history.hpp
+++ b/src/deliveries/http/connection_history.hpp
@@ -39,6 +39,9 @@
     bool may_carry(cometspoke::Effect effect, bool target_refuses, Time now) const;
     /// Whether a refusal of the next call would be the call's own.
     bool proves_refusals(Time now) const;
+    /// No answer to an earlier call is expected: all that was read was certain, or none has come for
+    /// kRestTime.
+    bool rested(Time now) const;
     void begin_call(Time now) { rested_before_call_ = rested(now); }
 
     /// Whose answer to the present call this is. `keeps_connection`: its head does not end the connection, as
@@ -56,9 +59,6 @@
 private:
     using Kinds = std::bitset<kAnswerKinds>;
 
-    /// No answer to an earlier call is expected: all that was read was certain, or none has come for
-    /// kRestTime.
-    bool rested(Time now) const;
     bool carried_refusal() const;
 
     std::size_t answers_ = 0;
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -170,10 +170,12 @@
     const auto call = std::exchange(call_, std::nullopt);
     if (call) judge();
     const bool keeps = keeps_connection(observed().kind, certainty_, answer_.reusable());
+    const std::string surplus = answer_.take_rest();
     history_.end_answer(observed().kind, certainty_, Clock::now());
     // first: the decision on this outcome may want the connection
-    keeps ? owner_.now_idle(self) : owner_.gone(self);
+    keeps ? owner_.now_idle(self) : owner_.finished(self);
     if (call) report(*call, Outcome::Unreadable);
+    heed_waits(surplus);
 }
 /// Nothing more is read: what has come so far decides.
 void TargetConnection::end(Outcome otherwise) {
@@ -225,6 +227,14 @@
     wait_until(Clock::now() + span);
     watch();
 }
+void TargetConnection::linger(Clock::duration span) {
+    ++turn_;
+    resting_ = lingering_ = true;
+    boost::system::error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    wait_until(Clock::now() + span);
+    watch();
+}
 void TargetConnection::watch() {
     socket_.async_wait(Tcp::socket::wait_read, guarded([this](auto) { read_surplus(); }));
 }
@@ -245,7 +255,21 @@
 /// before it could cross a call, and garbled answers end so too.
 void TargetConnection::take_surplus(std::string_view bytes) {
     if (only_copies(bytes)) owner_.stray_seen(*this);
-    owner_.gone(shared_from_this());
+    heed_waits(bytes);
+    lingering_ ? watch() : owner_.gone(shared_from_this());
+}
+/// The own answer of a call in whose place a copy was read may tell a wait: it holds from then on.
+void TargetConnection::heed_waits(std::string_view bytes) {
+    std::string rest(bytes);
+    while (!rest.empty()) {
+        const Answer::State state = surplus_.feed(rest);
+        const Time wait = surplus_.told_wait(longest_wait(owner_.config_));
+        const bool told = surplus_.head_read() && wait > Time(0);
+        if (told && owner_.callbacks_.on_wait) owner_.callbacks_.on_wait(endpoint_, wait);
+        if (state != Answer::State::Whole) return;
+        rest = surplus_.take_rest();
+        surplus_ = Answer();
+    }
 }
 /// Whether each answer, as far as it has come, is like an earlier one of this connection.
 bool TargetConnection::only_copies(std::string_view bytes) const {
@@ -264,7 +288,7 @@
 
 void TargetConnection::close() {
     ++turn_;
-    resting_ = false;
+    resting_ = lingering_ = false;
     boost::system::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
--- a/src/deliveries/http/target_connection.hpp
+++ b/src/deliveries/http/target_connection.hpp
@@ -42,6 +42,9 @@
 
     /// Rests for `span` at most, until the next call.
     void rest_for(Clock::duration span);
+    /// Gives up a call that may still be out, and reads for `span` at most what its target had written by
+    /// then: a wait that it tells holds.
+    void linger(Clock::duration span);
     /// Whether nothing has arrived at a resting connection: a close or an answer that the event loop has not
     /// reported yet.
     bool silent();
@@ -74,6 +77,7 @@
     void log_doubt(const Call& call, const CallEnd& end) const;
     void watch();
     bool only_copies(std::string_view bytes) const;
+    void heed_waits(std::string_view bytes);
     void take_surplus(std::string_view bytes);
 
     Targets& owner_;
@@ -91,6 +95,8 @@
     ConnectionHistory history_;
     Certainty certainty_ = Certainty::Certain;  // of the answer to the present call
     bool resting_ = false;                      // until the next call
+    bool lingering_ = false;                    // there is none
+    Answer surplus_;                            // to which there is no call
 };
 
 }  // namespace lockgw
--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -101,7 +101,7 @@
     const auto span = config_.settings.conn_idle * 9 / 10;
     if (address == addresses_.end() || address->second != connection->address() || span <= Time(0) ||
         strays_.single_use(endpoint, Clock::now()))
-        return gone(connection);
+        return finished(connection);
     finishing_.remove(connection);
     idle_.add(connection);
     connection->rest_for(span);
@@ -109,6 +109,17 @@
 
 void Targets::finishing(const Connection& connection) { finishing_.add(connection); }
 
+/// It carries no more calls. Closed at once, unless the own answer of one may still be on its way.
+void Targets::finished(const Connection& connection) {
+    if (!connection->history().rested(Clock::now())) {
+        idle_.remove(connection);
+        finishing_.remove(connection);
+        finishing_.add(connection);
+        return connection->linger(ConnectionHistory::kRestTime);
+    }
+    gone(connection);
+}
+
 void Targets::stray_seen(const TargetConnection& connection) {
     const auto span = strays_.record(connection.endpoint(), Clock::now());
     log::warn("delivery", "more answers than calls: connections are not reused",
--- a/src/deliveries/http/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -42,6 +42,7 @@
     void not_sent(const Call& call);
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
+    void finished(const Connection& connection);
     void stray_seen(const TargetConnection& connection);
     void refusal_seen(EndpointId endpoint);
     void drop(const Connection& connection);
@@ -58,7 +59,7 @@
     IdlePool idle_;  // by endpoint, and in the order of their last use
     // Of what clients and others may take, one call can always be made: it is out, idle, or kept here.
     SpareDescriptor spare_;
-    IdlePool finishing_;  // of calls that have their outcome: the rest of the answer is read
+    IdlePool finishing_;  // of calls that have their outcome: what still comes is read
     StrayRecord strays_;
     RefusalRecord refusals_;
 };
--- a/tests/stray_answer_test.cpp
+++ b/tests/stray_answer_test.cpp
@@ -5,6 +5,10 @@
 namespace lockgw {
 namespace {
 
+const std::string kWait = "HTTP/1.1 429 X\r\nRetry-After: 1.0\r\nContent-Length: 0\r\n\r\n";
+constexpr auto kWaited = 700ms;  // of that wait, whatever the machine does
+constexpr auto kAtOnce = 10ms;   // less than the first backoff of a refused message
+
 // Incident 7f8772: a copy of a refusal that crosses the next call says that this call never ran; it is sent
 // and run again (unsafe), or a second attempt is out beside it (keyed).
 TEST_F(StrayAnswer, ACopyOfARefusalDoesNotRepeatACallThatRan) {
@@ -181,6 +185,39 @@
     third.write(kOk);
 }
 
+// A copy of a 200 was read in the place of the call's own answer, which comes later and tells a wait: it
+// holds.
+TEST_F(StrayAnswer, AWaitThatIsToldBehindACopyOfADeliveryIsHeeded) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    ASSERT_EQ(enqueue(*client, next_id(), "safe"), "+OK");
+    const Exchange call = target.next();
+    ASSERT_TRUE(carried[call.connection].contains(kOk)) << "the order is not forced";
+    call.push(kOk);
+    std::this_thread::sleep_for(kBetween);
+    call.push(kWait);
+    std::this_thread::sleep_for(kBetween);
+    ASSERT_EQ(enqueue(*client, next_id(), "safe"), "+OK");
+    EXPECT_TRUE(target.no_request_within(kWaited));
+    target.next().write(kOk);
+}
+
+// The same behind a copy of a refusal, which gives the call up: what its target had written by then is read.
+TEST_F(StrayAnswer, AWaitThatIsToldBehindACopyOfARefusalIsHeeded) {
+    start();
+    std::this_thread::sleep_for(kRested);
+    ASSERT_EQ(enqueue(*client, next_id(), "safe"), "+OK");
+    const Exchange refused = target.next();
+    refused.write(kRefusal);
+    const Exchange repeated = target.next();
+    ASSERT_EQ(repeated.connection, refused.connection) << "the order is not forced";
+    repeated.push(kRefusal);
+    std::this_thread::sleep_for(kAtOnce);
+    repeated.push(kWait);
+    EXPECT_TRUE(target.no_request_within(kWaited));
+    target.next().write(kOk);
+}
+
 // ---- the discovery agent ----
 
 // A second copy of an acknowledgement that crosses the next report: what the agent has not read is reported
