Targets: a connection that carried a refusal is not used again

A copy of a refusal is doubtful there, but its message goes again at once, which is wrong in the world in which its own 200 has been written already. The enumeration counts an end as told when it is read, so it did not show.

--- a/src/deliveries/http/answer_meaning.cpp
+++ b/src/deliveries/http/answer_meaning.cpp
@@ -49,10 +49,6 @@
     return effect == Effect::Retryable ? proved(answer.kind) : CallEnd{Outcome::CalledOff, Fate::Open};
 }
 
-bool keeps_connection(AnswerKind kind, Certainty certainty, bool reusable) {
-    if (!reusable || kind == AnswerKind::None || kind == AnswerKind::Error) return false;
-    // behind a doubtful answer the call may still be out: it is given up before the message goes again
-    return kind == AnswerKind::Delivered || certainty == Certainty::Certain;
-}
+bool keeps_connection(AnswerKind kind, bool reusable) { return reusable && kind == AnswerKind::Delivered; }
 
 }  // namespace lockgw
--- a/src/deliveries/http/answer_meaning.hpp
+++ b/src/deliveries/http/answer_meaning.hpp
@@ -24,7 +24,8 @@
 
 /// Whether the connection may carry a further call behind this answer; else it is closed, which gives up a
 /// call that may still be out. `reusable`: the answer is whole, nothing came behind it, and its head keeps
-/// the connection.
-bool keeps_connection(AnswerKind kind, Certainty certainty, bool reusable);
+/// the connection. Only behind a delivery: a copy of a refusal could be read while the own answer of the next
+/// call, a delivery, is on its way, and the message would be called again after its end.
+bool keeps_connection(AnswerKind kind, bool reusable);
 
 }  // namespace lockgw
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -169,7 +169,7 @@
     const auto self = shared_from_this();
     const auto call = std::exchange(call_, std::nullopt);
     if (call) judge();
-    const bool keeps = keeps_connection(observed().kind, certainty_, answer_.reusable());
+    const bool keeps = keeps_connection(observed().kind, answer_.reusable());
     const std::string surplus = answer_.take_rest();
     history_.end_answer(observed().kind, certainty_, Clock::now());
     // first: the decision on this outcome may want the connection
--- a/tests/answer_enumeration_test.cpp
+++ b/tests/answer_enumeration_test.cpp
@@ -131,7 +131,7 @@
     apply_fate(world, message, end.fate, end.outcome);
     if (answer.kind == AnswerKind::None) return close_link(world, link);
     link.history.end_answer(answer.kind, certainty, world.now);
-    if (keeps_connection(answer.kind, certainty, answer.whole && !closing))
+    if (keeps_connection(answer.kind, answer.whole && !closing))
         link.pooled = true;
     else
         close_link(world, link);
--- a/tests/answer_meaning_test.cpp
+++ b/tests/answer_meaning_test.cpp
@@ -65,19 +65,12 @@
             expect_end({kind, false}, certainty, kOtherwise, Fate::Open);
     }
 }
-TEST(AnswerMeaningTest, AConnectionIsClosedBehindADoubtfulRefusalAndBehindAnError) {
-    for (const Certainty certainty : {Certainty::Certain, Certainty::Doubtful}) {
-        EXPECT_TRUE(keeps_connection(Kind::Delivered, certainty, true));
-        EXPECT_FALSE(keeps_connection(Kind::Error, certainty, true));
-        EXPECT_FALSE(keeps_connection(Kind::None, certainty, true));
-    }
-    for (const Kind kind : {Kind::Delivered, Kind::Refused})
-        EXPECT_FALSE(keeps_connection(kind, Certainty::Certain, false));
-    for (const Kind kind :
-        {Kind::RetryAfter, Kind::Refused, Kind::SlotsTaken, Kind::AttemptsUsed, Kind::Over}) {
-        EXPECT_TRUE(keeps_connection(kind, Certainty::Certain, true));
-        EXPECT_FALSE(keeps_connection(kind, Certainty::Doubtful, true));
-    }
+TEST(AnswerMeaningTest, AConnectionIsReusedOnlyBehindADelivery) {
+    EXPECT_TRUE(keeps_connection(Kind::Delivered, true));
+    EXPECT_FALSE(keeps_connection(Kind::Delivered, false));
+    for (const Kind kind : {Kind::None, Kind::RetryAfter, Kind::Refused, Kind::SlotsTaken, Kind::AttemptsUsed,
+             Kind::Over, Kind::Error})
+        EXPECT_FALSE(keeps_connection(kind, true));
 }
 
 }  // namespace
--- a/tests/stray_answer_test.cpp
+++ b/tests/stray_answer_test.cpp
@@ -168,9 +168,9 @@
     unsafe.write(kOk);
 }
 
-// Behind a refusal a connection is used again, by messages that may be repeated freely. A second refusal over
-// it may be a copy of the first: the connection is closed, which gives the call up, before the next attempt.
-TEST_F(StrayAnswer, AConnectionThatCarriedARefusalIsUsedAgain) {
+// Behind a refusal a connection is not used again: a copy of the refusal could be read while the own answer
+// of the next call, a delivery, is on its way, and the message would be called again after its end.
+TEST_F(StrayAnswer, AConnectionThatCarriedARefusalIsNotUsedAgain) {
     start();
     std::this_thread::sleep_for(kRested);
     ASSERT_EQ(enqueue(*client, next_id()), "+OK");
@@ -178,11 +178,8 @@
     ASSERT_TRUE(carried[refused.connection].contains(kOk)) << "the order is not forced";
     refused.write(kRefusal);
     const Exchange second = target.next();
-    EXPECT_EQ(second.connection, refused.connection);
-    second.write(kRefusal);
-    const Exchange third = target.next();
-    EXPECT_NE(third.connection, refused.connection);
-    third.write(kOk);
+    EXPECT_NE(second.connection, refused.connection);
+    second.write(kOk);
 }
 
 // A copy of a 200 was read in the place of the call's own answer, which comes later and tells a wait: it
@@ -202,18 +199,16 @@
     target.next().write(kOk);
 }
 
-// The same behind a copy of a refusal, which gives the call up: what its target had written by then is read.
-TEST_F(StrayAnswer, AWaitThatIsToldBehindACopyOfARefusalIsHeeded) {
+// The same behind a doubtful refusal, which gives the call up: what its target had written by then is read.
+TEST_F(StrayAnswer, AWaitThatIsToldBehindADoubtfulRefusalIsHeeded) {
     start();
-    std::this_thread::sleep_for(kRested);
-    ASSERT_EQ(enqueue(*client, next_id(), "safe"), "+OK");
-    const Exchange refused = target.next();
-    refused.write(kRefusal);
-    const Exchange repeated = target.next();
-    ASSERT_EQ(repeated.connection, refused.connection) << "the order is not forced";
-    repeated.push(kRefusal);
+    const std::string id = next_id();
+    ASSERT_EQ(enqueue(*client, id), "+OK");
+    const Exchange call = target.next();
+    ASSERT_TRUE(carried[call.connection].contains(kOk)) << "the order is not forced";
+    call.push(kRefusal);  // behind a doubtful delivery that has not rested
     std::this_thread::sleep_for(kAtOnce);
-    repeated.push(kWait);
+    call.push(kWait);
     EXPECT_TRUE(target.no_request_within(kWaited));
     target.next().write(kOk);
 }
