--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -498,13 +498,17 @@
         }
         RECORD("%s: started, pid %d, port %d", setup_.name.c_str(), pid_, port_);
     }
-    /// Other settings: a new file in the place of the old one, and SIGHUP.
-    void reload(const std::string& classes) {
-        setup_.classes = classes;
-        std::ofstream(config_path() + ".new") << config();
+    /// Another file in the place of the old one, and SIGHUP.
+    void reload(const std::string& file) {
+        std::ofstream(config_path() + ".new") << file;
         std::filesystem::rename(config_path() + ".new", config_path());
         signal(SIGHUP);
     }
+    /// The file as it is.
+    std::string file() const {
+        std::ifstream stream(config_path());
+        return {std::istreambuf_iterator<char>(stream), {}};
+    }
     /// Waits for +PONG.
     void ready(int within_ms = 10000) {
         const double until = now_ms() + within_ms;
