--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p build
 for source in [0-9]/case.cpp; do
     [ -f "$source" ] || continue
-    ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -pthread -I. "$source" -o "build/case$(dirname "$source")"
+    "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -I. "$source" -o "build/case$(dirname "$source")"
 done
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -77,8 +77,14 @@
 };
 #define RECORD(...) ::standin::Record::one().line(__VA_ARGS__)
 
+inline std::string& folder_of_this_run() {
+    static std::string path;
+    return path;
+}
 [[noreturn]] inline void cannot_run(const std::string& why) {
     RECORD("CANNOT RUN: %s", why.c_str());
+    std::error_code ignored;
+    if (!folder_of_this_run().empty()) std::filesystem::remove_all(folder_of_this_run(), ignored);
     std::fprintf(stderr, "cannot run: %s\n", why.c_str());
     std::_Exit(2);
 }
@@ -606,7 +612,7 @@
         const char* base = std::getenv("TMPDIR");
         std::string text = std::string(base && *base ? base : "/tmp") + "/review-XXXXXX";
         if (!mkdtemp(text.data())) cannot_run("no temporary folder");
-        path_ = text;
+        path_ = folder_of_this_run() = text;
     }
     ~Folder() {
         std::error_code ignored;
