Reload: NODE_CONFIG is compared whole with the file in force, key by key

The process had no agent either: no drains heard, no notices told.

Cause: check_running() compared the keys of `settings` alone, and of the elements of a list only those that all of them have. Evidence: with each key of a whole file left out by itself, takes 13 files (name, console, discovery, known and its three keys, limits.cores, limits.memory_mb, peer_listen, peers, peers_all, dedup_scope of one class). Excluded: a fault of repeats (with the old settings in force none ran twice), and `discovery` being optional (11 other keys pass). On a related path, NODE_CONFIG beside an operator's file, no key was compared at all.

Change: config/missing_keys compares the platform's file with the one in force. A key that is gone, null or of another type, or a list that has become empty, refuses the file and is named in the log. Classes and tenants may come and go; one that stays is compared with its namesake. It works because the check needs no list of keys of its own: the file in force is that list. settings::shape_of and its test are replaced by missing_keys and MissingKeys.*, which ask for the same and more.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -47,6 +47,20 @@
         config.peers.push_back(udp_endpoint(peer.get<std::string>(), "peers"));
 }
 
+/// `known` is a list that discovery wrote: its rows are no configuration, and may be many.
+Json without_known_rows(const Json& file) {
+    Json rest = Json::object();
+    for (const auto& [key, value] : file.items())
+        if (key != "known") rest[key] = value;
+    const auto known = file.find("known");
+    if (known == file.end()) return rest;
+    if (!known->is_object()) return rest["known"] = *known, rest;
+    rest["known"] = Json::object();
+    for (const auto& [key, value] : known->items())
+        rest["known"][key] = value.is_array() ? Json::array() : value;
+    return rest;
+}
+
 std::string environment(const char* name) {
     const char* value = std::getenv(name);
     if (value == nullptr || *value == '\0') throw BadInput(std::string(name) + " is not set");
@@ -81,7 +95,7 @@
     config.names = cometspoke::settings::names_of(params);
     config.settings = cometspoke::settings::settings_of(params, config.names);
     for (auto& one : config.settings.classes) one.max_attempts = config.settings.max_attempts;
-    config.shape = cometspoke::settings::shape_of(params);
+    config.numbered = params.contains("me") && !params["me"].is_null();
     const auto timeout_ms = value_or(need(params, "limits"), "connect_timeout_ms", 1000.0);
     if (!(timeout_ms > 0 && timeout_ms < 1e6)) throw BadInput("limits.connect_timeout_ms makes no sense");
     config.connect_timeout = std::chrono::milliseconds(static_cast<std::int64_t>(timeout_ms));
@@ -98,7 +112,10 @@
     if (!text) throw BadInput("NODE_CONFIG cannot be read: " + path);
     Json file = Json::parse(*text);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
-    return read_config(std::move(file));
+    const auto platform_file = std::make_shared<const Json>(without_known_rows(file));
+    Config config = read_config(std::move(file));
+    config.platform_file = platform_file;
+    return config;
 }
 
 Config config_of_environment() {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,8 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +44,9 @@
     Json known;                        ///< the list of targets as last had, in discovery's form
     cometspoke::settings::Names names;
     cometspoke::Settings settings;
-    std::set<std::string> shape;  ///< the keys of the settings as they were told
+    bool numbered = false;  ///< the settings tell this forwarder's number
+    /// NODE_CONFIG as it was read, without the rows of `known`. Null where the operator's file tells all.
+    std::shared_ptr<const Json> platform_file;
     std::chrono::milliseconds connect_timeout{1000};
     /// Within so long after it is told that a target drains or has gone, new calls to it must have stopped.
     std::chrono::milliseconds drain_grace{500};
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -159,28 +158,6 @@
 
 namespace {
 
-/// The keys of an object and of what is in it; those of an array's objects that all of them have.
-void add_shape(const Json& value, const std::string& place, std::set<std::string>& shape) {
-    if (value.is_object()) {
-        for (const auto& [key, inner] : value.items()) {
-            if (inner.is_null()) continue;  // as good as absent
-            const std::string at = place.empty() ? key : place + "." + key;
-            shape.insert(at);
-            add_shape(inner, at, shape);
-        }
-    } else if (value.is_array() && !value.empty() && value.front().is_object()) {
-        std::set<std::string> common;
-        for (std::size_t i = 0; i < value.size(); ++i) {
-            std::set<std::string> one, both;
-            add_shape(value[i], place + "[]", one);
-            std::set_intersection(
-                one.begin(), one.end(), common.begin(), common.end(), std::inserter(both, both.end()));
-            common = i == 0 ? std::move(one) : std::move(both);
-        }
-        shape.merge(common);
-    }
-}
-
 /// Where `fresh` stands among those in force: its own number, one of the same terms that is nobody's, or a
 /// new one at the end.
 template <class One>
@@ -208,12 +185,6 @@
 
 }  // namespace
 
-std::set<std::string> shape_of(const Json& params) {
-    std::set<std::string> shape;
-    add_shape(params, "", shape);
-    return shape;
-}
-
 InForce taken_over(const InForce& running, const InForce& fresh, const InUse& in_use) {
     InForce all{{}, fresh.settings, {}};
     // a name that stays with the same terms keeps its number; those first, so that no other takes it
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -50,8 +50,6 @@
 std::size_t index_of(const Index& index, const std::string& name, const char* what);
 Names names_of(const Json& params);
 Settings settings_of(const Json& params, const Names& names);
-/// The places of all keys, such as "limits.max_attempts" and "classes[].aim_ms" (where each class has it).
-std::set<std::string> shape_of(const Json& params);
 
 /// What a running process goes by.
 struct InForce {
--- a/src/core/subset_parameters.hpp
+++ b/src/core/subset_parameters.hpp
@@ -9,10 +9,9 @@
 /// The position on the ring follows from the forwarder's number; without a number it is derived from the
 /// seed.
 inline subsetting::SubsetParameters subset_parameters(const Config& config) {
-    const bool numbered = config.shape.contains("me");
     const auto& settings = config.settings;
-    return {numbered ? subsetting::evenly_spaced_position(settings.own_number, settings.n_instances)
-                     : subsetting::hashed_position(config.seed),
+    return {config.numbered ? subsetting::evenly_spaced_position(settings.own_number, settings.n_instances)
+                            : subsetting::hashed_position(config.seed),
         settings.n_instances, settings.conn_idle, settings.warm_within, settings.cold_from};
 }
 
--- a/src/program/load.cpp
+++ b/src/program/load.cpp
@@ -4,6 +4,7 @@
 
 #include "base/passing_error.hpp"
 #include "config/address.hpp"
+#include "config/missing_keys.hpp"
 #include "config/stand_alone.hpp"
 #include "discovery/target_list.hpp"
 
@@ -107,17 +108,28 @@
     return problems.empty() ? std::optional(std::move(loaded)) : std::nullopt;
 }
 
+namespace {
+
+/// Whoever writes NODE_CONFIG tells all of it: what a file lacks was cut off, or not written yet.
+void check_complete(const Config& running, const Config& fresh, Problems& problems) {
+    if (!running.platform_file || !fresh.platform_file) return;
+    std::string missing;
+    for (const std::string& key : config::missing_keys(*running.platform_file, *fresh.platform_file))
+        missing += (missing.empty() ? "" : ", ") + key;
+    if (!missing.empty())
+        problems.add({}, "node-config",
+            "the file in force had, and this file lacks or has of another type: " + missing);
+}
+
+}  // namespace
+
 void check_running(const Loaded& running, const Loaded& fresh, Problems& problems) {
     const auto keeps = [&](bool same, const char* what) {
         if (!same)
             problems.add(
                 {}, "needs-restart", std::string(what) + " cannot change while it runs; restart for it");
     };
-    std::string lacking;  // a file that was cut off, or written by halves, may still be sound by itself
-    for (const std::string& key : running.config.shape)
-        if (!fresh.config.shape.contains(key)) lacking += (lacking.empty() ? "" : ", ") + key;
-    if (!lacking.empty() && fresh.file.path.empty())
-        problems.add({}, "node-config", "the settings in force had, and this file lacks: " + lacking);
+    check_complete(running.config, fresh.config, problems);
     if (fresh.file.path.empty()) return;
     const Config &a = running.config, &b = fresh.config;
     keeps(a.listen == b.listen, "listen");
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -223,6 +223,25 @@
     }
 }
 
+// Beside an operator's file, too, NODE_CONFIG is refused where it lacks a key of the one in force.
+TEST_F(OperatorTest, APlatformFileThatLacksAKeyIsRefusedBesideIt) {
+    with_file(destination());
+    start_with_three();
+    for (const char* key : {"/name", "/limits/memory_mb", "/settings/limits/cancel"}) {
+        Json file = node.config();
+        const Json::json_pointer place(key);
+        file[place.parent_pointer()].erase(place.back());
+        node.reload(file.dump());
+        try {
+            control::ask(socket(), "reload");
+            ADD_FAILURE() << "taken over without " << key;
+        } catch (const control::Refused& refused) {
+            EXPECT_NE(refused.problems().find(place.back()), std::string::npos) << refused.problems();
+        }
+    }
+    EXPECT_EQ(control::ask(socket(), "status").at("reloads"), 0);
+}
+
 // Limits in the file hold: of one that NODE_CONFIG tells too the lower one; at the door a silent client is
 // waited for as long as it says (2 s without it).
 TEST_F(OperatorTest, ItsLimitsHold) {
--- a/tests/settings_reload_test.cpp
+++ b/tests/settings_reload_test.cpp
@@ -1,6 +1,7 @@
 // Settings that change while the program runs: classes and tenants keep their numbers, messages keep the
 // class settings under which they were accepted, also over a restart, and invalid files are rejected as a
 // whole.
+#include "config/missing_keys.hpp"
 #include "node_fixture.hpp"
 
 namespace lockgw {
@@ -83,16 +84,52 @@
     EXPECT_EQ(error_for("/limits/max_attempts", 3), "");
 }
 
-TEST(Settings, ShapeListsFieldsThatAllClassesHave) {
-    Json params = settings_json();
-    const auto complete = shape_of(params);
-    EXPECT_TRUE(complete.contains("limits.max_attempts"));
-    EXPECT_TRUE(complete.contains("classes[].worth"));
-    params["classes"][1].erase("worth");
-    params["limits"].erase("cancel");
-    const auto reduced = shape_of(params);
-    EXPECT_FALSE(reduced.contains("classes[].worth"));
-    EXPECT_FALSE(reduced.contains("limits.cancel"));
+Json without_key(Json file, const char* object, const char* key) {
+    file[Json::json_pointer(object)].erase(key);
+    return file;
+}
+
+TEST(MissingKeys, ListsWhatTheFreshFileLacks) {
+    using config::missing_keys;
+    using Places = std::vector<std::string>;
+    const Json file = make_config("127.0.0.1:1", "127.0.0.1:2");
+    EXPECT_EQ(missing_keys(file, file), Places{});
+    EXPECT_EQ(missing_keys(file, without_key(file, "", "discovery")), Places{"discovery"});
+    EXPECT_EQ(missing_keys(file, without_key(file, "/limits", "memory_mb")), Places{"limits.memory_mb"});
+    EXPECT_EQ(missing_keys(file, without_key(file, "/settings/limits", "max_attempts")),
+        Places{"settings.limits.max_attempts"});
+    const Places one_class = missing_keys(file, without_key(file, "/settings/classes/1", "worth"));
+    EXPECT_EQ(one_class, (Places{"settings.classes[].worth", "settings.classes[keyed].worth"}));
+    EXPECT_EQ(missing_keys(without_key(file, "", "name"), file), Places{}) << "more keys than before";
+}
+
+TEST(MissingKeys, AKeyOfOneClassAloneMustStayThere) {
+    Json file = settings_json();
+    file["classes"][1]["dedup_scope"] = "zone";
+    EXPECT_EQ(
+        config::missing_keys(file, settings_json()), std::vector<std::string>{"classes[keyed].dedup_scope"});
+    Json dropped = file;
+    dropped["classes"].erase(1);
+    dropped["classes"].push_back(class_json("express", "fragile"));
+    EXPECT_TRUE(config::missing_keys(file, dropped).empty()) << "classes may come and go";
+}
+
+TEST(MissingKeys, AnotherTypeAndAnEmptiedListAreMissing) {
+    const Json file{{"discovery", "127.0.0.1:1"}, {"known", Json::object()}, {"disk_mb", 3},
+        {"peers", {"127.0.0.1:2"}}, {"tenants", {{{"name", "a"}}}}};
+    Json fresh = file;
+    fresh["disk_mb"] = 3.5;
+    EXPECT_TRUE(config::missing_keys(file, fresh).empty());
+    for (const Json& value : {Json(nullptr), Json(true), Json("x")}) {
+        fresh = file;
+        fresh["known"] = fresh["disk_mb"] = fresh["peers"] = value;
+        EXPECT_EQ(config::missing_keys(file, fresh), (std::vector<std::string>{"disk_mb", "known", "peers"}));
+    }
+    fresh = file;
+    fresh["peers"] = fresh["tenants"] = Json::array();
+    EXPECT_EQ(config::missing_keys(file, fresh), (std::vector<std::string>{"peers[]", "tenants[]"}));
+    fresh["tenants"] = {1};
+    EXPECT_EQ(config::missing_keys(file, fresh), (std::vector<std::string>{"peers[]", "tenants[]"}));
 }
 
 Message message_of_class(MessageId id, std::shared_ptr<const ClassSettings> terms) {
@@ -237,5 +274,76 @@
     EXPECT_EQ(target.next().header("X-Call-Id"), id);
 }
 
+// A file of all that DEPLOY tells, so that each of its keys can be left out.
+Json platform_file(const Json& base) {
+    Json file = base;
+    file["console"] = "127.0.0.1:" + std::to_string(rig::free_endpoint().port());
+    file["peer_listen"] = "127.0.0.1:" + std::to_string(rig::free_endpoint().port());
+    file["peers_all"] = "127.0.0.1:9";
+    file["peers"] = {file["peer_listen"]};
+    Json& settings = file["settings"];
+    settings["me"] = 0, settings["az"] = "a", settings["weights"] = "off",
+    settings["discovery"] = "automatic";
+    settings["over_share_worth"] = 0.05, settings["floor_per_s"] = 0.0;
+    settings["limits"]["peers"] = false, settings["limits"]["retry_after"] = true;
+    settings["contract"]["drain_grace_ms"] = 500, settings["contract"]["settle_after_doubt_ms"] = 0;
+    settings["family_info"]["routes_apart"] = {false}, settings["family_info"]["per_call"] = {1};
+    settings["family_info"]["loses_worth"] = "linear";
+    settings["tenants"][0]["quota_per_s"] = 20.0;
+    for (Json& row : settings["classes"]) row["late_worth"] = 0.5;
+    settings["classes"][1]["dedup_scope"] = "zone";  // one class alone tells it
+    return file;
+}
+/// The places of all keys, but for those of the rows that discovery wrote.
+void collect_keys(const Json& value, const Json::json_pointer& at, std::vector<Json::json_pointer>& keys) {
+    if (!value.is_structured() || at == Json::json_pointer("/known/members")) return;
+    for (const auto& [key, inner] : value.items()) {
+        const auto place = value.is_array() ? at / std::stoul(key) : at / key;
+        if (value.is_object()) keys.push_back(place);
+        collect_keys(inner, place, keys);
+    }
+}
+std::vector<Json::json_pointer> keys_of(const Json& file) {
+    std::vector<Json::json_pointer> keys;
+    collect_keys(file, Json::json_pointer(), keys);
+    return keys;
+}
+Json without(Json file, const Json::json_pointer& place) {
+    file[place.parent_pointer()].erase(place.back());
+    return file;
+}
+/// Orders that may not be repeated become such that may: what a file that is taken would do.
+Json with_unsafe_repeatable(Json file) {
+    for (Json& row : file["settings"]["classes"])
+        if (row["name"] == "unsafe") row["effect"] = "retryable";
+    return file;
+}
+
+constexpr auto kLogPause = 25ms;  // the log has at most 50 equal lines a second
+
+// Incident review-3: SIGHUP with a file that lacked a key outside the settings came into force, and orders
+// that may not be repeated ran twice.
+TEST_F(SettingsReloadTest, AFileThatLacksAnyKeyIsRefusedAndNoUnsafeMessageRunsTwice) {
+    node.config() = platform_file(node.config());
+    node.start_ready();
+    const Json changed = with_unsafe_repeatable(node.config());
+    const auto keys = keys_of(changed);
+    ASSERT_GT(keys.size(), 60u);
+    for (const auto& place : keys) {
+        std::this_thread::sleep_for(kLogPause);
+        const std::size_t before = node.log().size();
+        reload(without(changed, place));
+        const std::string log = node.log().substr(before);
+        EXPECT_NE(log.find("the old configuration stays"), std::string::npos) << place.to_string() << log;
+    }
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    target.next().answer(500);  // it may have run
+    EXPECT_EQ(final_statuses(agent_request("/reports"))[0]["result"], "dead");
+    EXPECT_TRUE(target.no_request_within(300ms));
+    reload(changed);  // whole, it is taken
+    EXPECT_TRUE(node.logs("configuration read anew reloads=1")) << node.log();
+}
+
 }  // namespace
 }  // namespace lockgw
