Drain: a step behind an order back into service closes the door no more; all timers alike

Cause: Clients::set_in_service(true) cancelled the drain's timer and reset its plan. asio does not recall a handler that has expired and is queued: it ran with no error, read the empty optional, and at the end of the 1.5 s took the branch of a process that ends.

--- a/src/capture/recorder.cpp
+++ b/src/capture/recorder.cpp
@@ -162,10 +162,7 @@
         }
     });
     if (!room) log::error("capture", "cannot be kept", {{"why", "the disk is too slow"}});
-    after_.expires_at(until);
-    after_.async_wait([this, here = here_](auto cancelled) {
-        if (!cancelled && *here) ends_keep_ = true;
-    });
+    after_.call_at(until, [this] { ends_keep_ = true; });
 }
 
 void Recorder::named(cometspoke::EndpointId endpoint, const std::string& name) {
@@ -175,9 +172,7 @@
 
 void Recorder::arm() {
     if (pending_.empty() || std::exchange(armed_, true)) return;
-    timer_.expires_after(settings_.flush);
-    timer_.async_wait([this, here = here_](auto cancelled) {
-        if (cancelled || !*here) return;
+    timer_.call_after(settings_.flush, [this] {
         armed_ = false;
         flush();
     });
--- a/src/capture/recorder.hpp
+++ b/src/capture/recorder.hpp
@@ -8,7 +8,6 @@
 /// Threads: the loop's. The module and the loop outlive it.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <filesystem>
 #include <map>
@@ -17,6 +16,7 @@
 #include <vector>
 
 #include "background/worker.hpp"
+#include "base/timer.hpp"
 #include "capture/batch.hpp"
 #include "capture/trigger.hpp"
 
@@ -101,7 +101,7 @@
     std::chrono::steady_clock::time_point not_before_{};
     bool armed_ = false;
     RecorderCounters counters_;
-    boost::asio::steady_timer timer_, after_;
+    Timer timer_, after_;
     std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
     Worker worker_;
 };
--- a/src/console/server.cpp
+++ b/src/console/server.cpp
@@ -109,14 +109,11 @@
             });
     }
     void within(std::chrono::milliseconds span) {
-        timer_.expires_after(span);
-        timer_.async_wait([self = weak_from_this()](auto cancelled) {
-            if (const auto here = self.lock(); here && !cancelled) here->close();
-        });
+        timer_.call_after(span, [this] { shared_from_this()->close(); });  // it may be its last owner's end
     }
 
     Tcp::socket socket_;
-    asio::steady_timer timer_;
+    Timer timer_;
     Server* owner_;
     boost::beast::flat_buffer buffer_;
     http::request_parser<http::empty_body> parser_;
@@ -185,11 +182,7 @@
             // nothing set aside is left: whoever has been silent for longest gives its descriptor
             if (!open_.empty() && out_of_descriptors(failed.value()))
                 std::shared_ptr<Connection>(open_.front())->close();
-            pause_.expires_after(kAcceptPause);
-            pause_.async_wait([this](auto cancelled) {
-                if (!cancelled) accept();
-            });
-            return;
+            return pause_.call_after(kAcceptPause, [this] { accept(); });
         }
         if (failed) continue;
         socket.non_blocking(true, failed);
--- a/src/console/server.hpp
+++ b/src/console/server.hpp
@@ -12,12 +12,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
 #include <memory>
 
 #include "base/spare_descriptor.hpp"
+#include "base/timer.hpp"
 #include "operations/operations.hpp"
 
 namespace lockgw::console {
@@ -55,7 +55,7 @@
     operations::Give give_;
     Work work_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer pause_;
+    Timer pause_;
     SpareDescriptor spare_;
     std::list<std::shared_ptr<Connection>> open_;  // the oldest first
 };
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -11,6 +11,8 @@
 #include <memory>
 #include <utility>
 
+#include "base/timer.hpp"
+
 namespace lockgw::control {
 
 namespace asio = boost::asio;
@@ -75,15 +77,14 @@
             });
     }
     void within() {
-        timer_.expires_after(kPatience);
-        timer_.async_wait([self = weak_from_this()](auto cancelled) {
+        timer_.call_after(kPatience, [this] {
             boost::system::error_code ignored;
-            if (const auto here = self.lock(); here && !cancelled) here->socket_.close(ignored);
+            socket_.close(ignored);
         });
     }
 
     Local::socket socket_;
-    asio::steady_timer timer_;
+    Timer timer_;
     const Verbs& verbs_;
     std::shared_ptr<std::size_t> open_;
     std::string in_, out_;
--- a/src/control/server.hpp
+++ b/src/control/server.hpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 
 #include "control/protocol.hpp"
--- a/src/core/capture_control.cpp
+++ b/src/core/capture_control.cpp
@@ -86,10 +86,7 @@
         stopping_.reset();
         return;
     }
-    write_poll_timer_.expires_after(std::chrono::milliseconds(50));
-    write_poll_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) release_when_written();
-    });
+    write_poll_timer_.call_after(std::chrono::milliseconds(50), [this] { release_when_written(); });
 }
 
 void CaptureControl::keep(Reply reply) {
--- a/src/core/capture_control.hpp
+++ b/src/core/capture_control.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.hpp"
 #include "capture/recorder.hpp"
 #include "config/config.hpp"
 #include "discovery/target_registry.hpp"
@@ -55,7 +56,7 @@
     const TargetRegistry& directory_;
     std::unique_ptr<capture::Recorder> recorder_;
     std::unique_ptr<capture::Recorder> stopping_;  // its last blocks are still being written
-    boost::asio::steady_timer write_poll_timer_;
+    Timer write_poll_timer_;
     std::vector<std::function<void()>> pending_;  // commands to run after the next decision
 };
 
--- a/src/core/cluster_membership.cpp
+++ b/src/core/cluster_membership.cpp
@@ -96,11 +96,10 @@
     update_position();
     // random interval, so that the rounds of many forwarders do not coincide
     const double jitter = std::uniform_real_distribution<double>(0.8, 1.2)(random_);
-    timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-        std::chrono::duration<double, std::milli>(static_cast<double>(config_.tier.round_ms) * jitter)));
-    timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) run_round();
-    });
+    timer_.call_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            std::chrono::duration<double, std::milli>(static_cast<double>(config_.tier.round_ms) * jitter)),
+        [this] { run_round(); });
 }
 
 /// `rate_limits`: message of the decision module to be sent in the same datagram; may be empty.
--- a/src/core/cluster_membership.hpp
+++ b/src/core/cluster_membership.hpp
@@ -5,11 +5,11 @@
 /// sent one by one without a frame, and no member is monitored.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
 #include <random>
 
+#include "base/timer.hpp"
 #include "config/config.hpp"
 #include "discovery/peer_socket.hpp"
 #include "notes/carrier.hpp"
@@ -75,7 +75,7 @@
     std::function<void(const Position&)> on_change_;
     std::function<void(cometspoke::PeerNote)> on_rate_limits_;
     PeerSocket peers_;
-    asio::steady_timer timer_;
+    Timer timer_;
     std::mt19937_64 random_;
     std::optional<tier::Watch> detector_;
     std::optional<tier::Parts> limit_shares_;
--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -432,10 +432,7 @@
     if (recorded.written) discovery_.report_final_status(fail.message, {});
 }
 void Forwarder::carry_out(const SetTimer& timer, const Recorded&) {
-    timer_.expires_after(timer.delay);
-    timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) observe(TimerFired{});
-    });
+    timer_.call_after(timer.delay, [this] { observe(TimerFired{}); });
 }
 void Forwarder::carry_out(const CloseIdle& close, const Recorded&) { delivery_->close_idle(close.endpoint); }
 void Forwarder::carry_out(const Forget& forget, const Recorded&) { directory_.forget(forget.endpoint); }
@@ -525,24 +522,20 @@
     // The end of the hand-over leaves a second to deliver what the last clients submit.
     const admission::HandOver plan(hand_over_limits(config_.door), config_.settings.n_instances - 1);
     frontend_->hand_over_clients(plan);
-    clients_handed_over_timer_.expires_after(plan.limits().end + kHandOverMargin);
-    clients_handed_over_timer_.async_wait([this](auto) { stop_if_done(); });
+    clients_handed_over_timer_.call_after(plan.limits().end + kHandOverMargin, [this] { stop_if_done(); });
     drain_deadline_ = std::chrono::steady_clock::now() + kStopAtLatest;
-    drain_timer_.expires_after(kStopReadingAfter);
-    drain_timer_.async_wait([this](auto) { stop_reading(); });
+    drain_timer_.call_after(kStopReadingAfter, [this] { stop_reading(); });
 }
 
 /// Requests that this process has read are answered before it ends.
 void Forwarder::stop_reading() {
     frontend_->stop_reading();
-    drain_timer_.expires_after(kStopAfter - kStopReadingAfter);
-    drain_timer_.async_wait([this](auto) { stop_when_answered(); });
+    drain_timer_.call_after(kStopAfter - kStopReadingAfter, [this] { stop_when_answered(); });
 }
 void Forwarder::stop_when_answered() {
     const bool replies_pending = frontend_->has_pending_replies() || !submitted_.empty();
     if (!replies_pending || std::chrono::steady_clock::now() >= drain_deadline_) return stop();
-    drain_timer_.expires_after(kReplyPollInterval);
-    drain_timer_.async_wait([this](auto) { stop_when_answered(); });
+    drain_timer_.call_after(kReplyPollInterval, [this] { stop_when_answered(); });
 }
 
 /// Ends a drain early, once the journal is empty and no client is connected.
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -20,11 +20,11 @@
 /// Not thread-safe: everything runs on the loop's thread.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "base/timer.hpp"
 #include "config/config.hpp"
 #include "containers/recent_set.hpp"
 #include "core/capture_control.hpp"
@@ -229,7 +229,7 @@
     bool peer_state_applied_ = false;                            // peers have answered, or were not asked
     std::set<std::uint64_t> out_by_peers_;  // targets taken out of service because peers said so
     std::unique_ptr<Frontend> frontend_;
-    asio::steady_timer timer_, clients_handed_over_timer_, drain_timer_, orders_timer_, hand_over_timer_;
+    Timer timer_, clients_handed_over_timer_, drain_timer_, orders_timer_, hand_over_timer_;
     bool turn_scheduled_ = false, draining_ = false, listening_ = false;
     // Reasons why no attempt may begin. They are independent: clearing one must not clear the other.
     bool paused_for_hand_over_ = false;                       // another process is about to take over
--- a/src/core/forwarder_handover_orders_reload.cpp
+++ b/src/core/forwarder_handover_orders_reload.cpp
@@ -51,10 +51,8 @@
         return hand_over_done_();
     }
     const bool handing_over = hand_over_.state() != handover::Yielding::State::Serving;
-    hand_over_timer_.expires_after(handing_over ? kHandOverStepInterval : kHandOverPollInterval);
-    hand_over_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) step_hand_over();
-    });
+    hand_over_timer_.call_after(
+        handing_over ? kHandOverStepInterval : kHandOverPollInterval, [this] { step_hand_over(); });
 }
 
 /// Tells the module whether new attempts may begin. While they may not, messages are still accepted, and
@@ -134,10 +132,7 @@
     const operations::Operations before = orders_.now();
     if (orders_.look()) apply_order_changes(before);
     save_removed_targets();
-    orders_timer_.expires_after(kOrdersPollInterval);
-    orders_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) poll_orders();
-    });
+    orders_timer_.call_after(kOrdersPollInterval, [this] { poll_orders(); });
 }
 
 /// Applies the difference between the orders `before` and those in force now: the service state, and targets
--- a/src/core/maintenance.cpp
+++ b/src/core/maintenance.cpp
@@ -80,10 +80,7 @@
 
 void Maintenance::run_round() {
     step();
-    timer_.expires_after(kRoundInterval);
-    timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) run_round();
-    });
+    timer_.call_after(kRoundInterval, [this] { run_round(); });
 }
 
 work::Sight Maintenance::observe() {
--- a/src/core/maintenance.hpp
+++ b/src/core/maintenance.hpp
@@ -5,13 +5,13 @@
 /// Disabled unless the operator's file enables it and cluster membership is enabled.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 
+#include "base/timer.hpp"
 #include "config/config.hpp"
 #include "core/cluster_membership.hpp"
 #include "core/hook.hpp"
@@ -76,7 +76,7 @@
     const Config& config_;
     ClusterMembership& cluster_;
     Callbacks callbacks_;
-    asio::steady_timer timer_;
+    Timer timer_;
     std::optional<work::Crew> coordinator_;
     Hook hook_;
     std::optional<std::pair<work::Machine, std::uint32_t>> hook_target_;  // machine and fence of the hook
--- a/src/core/recovery_coordinator.cpp
+++ b/src/core/recovery_coordinator.cpp
@@ -184,10 +184,7 @@
 void RecoveryCoordinator::schedule_release() {
     const auto next = backlog_.next();
     if (!backlog_pending_ || !next) return;
-    release_timer_.expires_at(std::chrono::steady_clock::time_point(*next));
-    release_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) on_due_();
-    });
+    release_timer_.call_at(std::chrono::steady_clock::time_point(*next), [this] { on_due_(); });
 }
 
 void RecoveryCoordinator::on_outcome(const cometspoke::OutcomeEvent& event) {
@@ -208,10 +205,7 @@
     const std::string question = bytes_of(Question{dependencies_.cluster.incarnation()});
     for (const tier::Number peer : peers)
         dependencies_.cluster.send_section(peer, notes::Kind::Question, question);
-    peer_timer_.expires_at(std::chrono::steady_clock::time_point(until));
-    peer_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) finish_asking();
-    });
+    peer_timer_.call_at(std::chrono::steady_clock::time_point(until), [this] { finish_asking(); });
 }
 
 void RecoveryCoordinator::receive(tier::Number from, const notes::Section& section) {
@@ -309,10 +303,8 @@
     const Time before = steady_now();
     save_snapshot();
     const Time duration = steady_now() - before;
-    save_timer_.expires_after(std::max(kSaveInterval, duration * kSaveIntervalFactor));
-    save_timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) save_periodically();
-    });
+    save_timer_.call_after(
+        std::max(kSaveInterval, duration * kSaveIntervalFactor), [this] { save_periodically(); });
 }
 
 void RecoveryCoordinator::save_snapshot() {
--- a/src/core/recovery_coordinator.hpp
+++ b/src/core/recovery_coordinator.hpp
@@ -3,7 +3,6 @@
 /// at a limited pace. The decisions are made in src/recovery.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -11,6 +10,7 @@
 #include <random>
 #include <vector>
 
+#include "base/timer.hpp"
 #include "core/cluster_membership.hpp"
 #include "discovery/target_registry.hpp"
 #include "notes/carrier.hpp"
@@ -93,7 +93,7 @@
     Dependencies dependencies_;
     EventSink send_event_;
     std::function<void()> on_due_;
-    asio::steady_timer save_timer_, release_timer_, peer_timer_;
+    Timer save_timer_, release_timer_, peer_timer_;
     std::mt19937_64 random_;
     notes::Allowance write_budget_;
     cometspoke::Time started_;
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -47,6 +47,7 @@
 void TargetConnection::start(Call call) {
     begun_ = Clock::now();
     ++turn_;
+    timer_.cancel();  // the end of its rest
     written_ = begun_writing_ = false;
     call_ = std::move(call);
     answer_ = Answer();
@@ -75,10 +76,10 @@
 }
 
 void TargetConnection::wait_until(Clock::time_point when) {
-    timer_.expires_at(when);
-    timer_.async_wait(guarded([this, when](auto cancelled) {
-        if (!cancelled && when == timer_.expiry()) expire();
-    }));
+    timer_.call_at(when, [this] {
+        const auto self = shared_from_this();  // its end may drop the last owner
+        expire();
+    });
 }
 void TargetConnection::expire() {
     if (resting_ || !call_) return owner_.gone(shared_from_this());
--- a/src/deliveries/http/target_connection.hpp
+++ b/src/deliveries/http/target_connection.hpp
@@ -3,7 +3,6 @@
 /// Owned by Targets and by its pending handlers. What its answers prove is decided by ConnectionHistory.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
 #include <memory>
@@ -11,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/timer.hpp"
 #include "core/delivery.hpp"
 #include "deliveries/http/answer.hpp"
 #include "deliveries/http/answer_meaning.hpp"
@@ -84,7 +84,7 @@
     EndpointId endpoint_;
     Tcp::endpoint address_;
     Tcp::socket socket_;
-    asio::steady_timer timer_;
+    Timer timer_;
     std::uint64_t turn_ = 0;
     std::optional<Call> call_;    // until its outcome is told
     bool begun_writing_ = false;  // the send gate has let it through
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -59,10 +59,7 @@
 void Poller::arm_timer() {
     const auto due = schedule_.next_due();
     if (!due) return;
-    timer_.expires_at(*due);
-    timer_.async_wait([this](auto cancelled) {
-        if (!cancelled) run_schedule();
-    });
+    timer_.call_at(*due, [this] { run_schedule(); });
 }
 
 void Poller::start_request(std::uint64_t request) {
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -2,12 +2,12 @@
 /// while the first is overdue.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "base/timer.hpp"
 #include "discovery/agent_connection.hpp"
 #include "discovery/poll_schedule.hpp"
 
@@ -73,7 +73,7 @@
     MakeRequest make_request_;
     OnAnswer on_answer_;
     OnPartialAnswer on_partial_answer_;
-    boost::asio::steady_timer timer_;
+    Timer timer_;
     std::map<std::uint64_t, Connection> in_flight_;
     bool has_agent_ = false;
 };
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -93,20 +93,13 @@
 
 void Clients::accept() {
     make_room();
-    if (draining_ || accepting_ || pausing_) return;
-    if (door_.room() == 0) {  // somebody's grace is over soon, or an answer is written
-        pausing_ = true;
-        pause_.expires_after(kRoomPause);
-        pause_.async_wait([this](auto cancelled) {
-            pausing_ = false;
-            if (!cancelled) accept();
-        });
-        return;
-    }
+    if (service_.closed() || accepting_ || pausing_) return;
+    if (door_.room() == 0)
+        return pause_accepting(kRoomPause);  // somebody's grace is over soon, or an answer is written
     accepting_ = true;
     listener_.wait([this](auto failed) {
         accepting_ = false;
-        if (draining_ || failed) return;
+        if (service_.closed() || failed) return;
         accept_waiting(kAccepts);
         accept();
     });
@@ -138,11 +131,13 @@
         send_away(*farewell);
     else
         intake_.free_descriptor();
-    if (std::exchange(pausing_, true)) return;
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([this](auto cancelled) {
+    if (!pausing_) pause_accepting(kAcceptPause);
+}
+void Clients::pause_accepting(std::chrono::milliseconds span) {
+    pausing_ = true;
+    pause_.call_after(span, [this] {
         pausing_ = false;
-        if (!cancelled) accept();
+        accept();
     });
 }
 
@@ -183,7 +178,7 @@
             return true;
         case Class::Silent:
         case Class::Trial:
-            return ending_ || closing();
+            return service_.ending() || closing();
         default:
             return false;
     }
@@ -236,12 +231,10 @@
         more = farewell.has_value();
         if (more) send_away(*farewell);
     }
-    if (service_ == Service::Out) let_go();  // who connects now is let go, too, unless it asks at once
+    if (service_.service() == Service::Out)
+        let_all_go();  // who connects now is let go, too, unless it asks at once
     tell();
-    sweep_.expires_after(more ? kSweepOn : kSweep);
-    sweep_.async_wait([this](auto cancelled) {
-        if (!cancelled) sweep();
-    });
+    sweep_.call_after(more ? kSweepOn : kSweep, [this] { sweep(); });
 }
 
 /// One line now and then, while there is something to tell.
@@ -280,9 +273,9 @@
 
 void Clients::handle(const Session& session, const resp::Command& command) {
     using boost::algorithm::iequals;
-    if (iequals(command[0], "PING") && service_ != Service::In)
+    if (iequals(command[0], "PING") && service_.service() != Service::In)
         return session->answer(resp::error("ERR out of service"), false);
-    if (service_ == Service::Out) {
+    if (service_.service() == Service::Out) {
         if (!iequals(command[0], "ENQUEUE")) return session->turn_away(resp::error("ERR out of service"));
         ++counters_.refused;
         return session->turn_away(busy(kOutWait));
@@ -375,12 +368,12 @@
     for (std::size_t i = 0; i < admission::kClasses; ++i)
         connections[admission::text_of(static_cast<Class>(i))] = door_.count(static_cast<Class>(i));
     return {{"front", "resp2"}, {"listen", address_text(config_.listen)}, {"connections", door_.count()},
-        {"in_service", service_ == Service::In}, {"by_class", connections}, {"accepted", counters_.accepted},
-        {"accept_failed", counters_.accept_failed}, {"handed_in", counters_.served},
-        {"refused_after_a_wait", counters_.refused}, {"given_up_by_clients", counters_.gone},
-        {"for_want_of_memory", counters_.too_much}, {"overloaded", overload_.overloaded()},
-        {"held_bytes", memory_.held()}, {"most_held_bytes", memory_.most()},
-        {"read_in_turn", read_turns_.size()},
+        {"in_service", service_.service() == Service::In}, {"by_class", connections},
+        {"accepted", counters_.accepted}, {"accept_failed", counters_.accept_failed},
+        {"handed_in", counters_.served}, {"refused_after_a_wait", counters_.refused},
+        {"given_up_by_clients", counters_.gone}, {"for_want_of_memory", counters_.too_much},
+        {"overloaded", overload_.overloaded()}, {"held_bytes", memory_.held()},
+        {"most_held_bytes", memory_.most()}, {"read_in_turn", read_turns_.size()},
         {"read_limits", {{"per_s", read_turns_.limits().per_s}, {"burst", read_turns_.limits().burst},
                             {"turn", read_turns_.limits().turn}}},
         {"grace_ms", std::chrono::duration<double, std::milli>(door_.grace()).count()}};
@@ -390,66 +383,49 @@
 
 /// Who has asked goes on being served for a while; the fronts have noticed by then.
 void Clients::set_in_service(bool in_service) {
-    if (draining_ || in_service == (service_ == Service::In)) return;
-    service_ = in_service ? Service::In : Service::Leaving;
-    if (ending_) return;  // all are being let go already
-    hand_over_.reset();
-    hand_on_.cancel();
-    if (in_service) return;
     admission::HandOverLimits limits = hand_over_limits(config_.door);
     limits.end = std::min(limits.end, admission::Span(kLeaving));
     limits.least = std::min(limits.least, limits.end);
-    hand_over_.emplace(limits, config_.settings.n_instances - 1);
-    hand_over_since_ = Clock::now();
-    hand_on_some();
-}
-/// The others have what was let go; what still comes is turned away.
-void Clients::let_go() {
-    service_ = Service::Out;
-    for (std::size_t left = door_.count(); left > 0; --left) {
-        const auto farewell = door_.hand_on();
-        if (!farewell) return;
-        send_away(*farewell);
-    }
+    const auto now = Clock::now();
+    if (service_.order(in_service, {limits, config_.settings.n_instances - 1}, now)) hand_on(now);
 }
 
 void Clients::hand_over_clients(const admission::HandOver& plan) {
-    ending_ = true;
-    hand_over_ = plan;
-    hand_over_since_ = Clock::now();
-    hand_on_some();
+    const auto now = Clock::now();
+    service_.begin_end(plan, now);
+    hand_on(now);
 }
 
 /// All at once would fall on the others in one instant.
-void Clients::hand_on_some() {
-    if (draining_) return;
-    const auto passed = Clock::now() - hand_over_since_;
-    const auto& limits = hand_over_->limits();
-    if (passed >= limits.end) return service_ == Service::Leaving && !ending_ ? let_go() : drain();
+void Clients::hand_on(admission::ServiceState::TimePoint now) {
     const std::size_t resting = door_.count(Class::Silent) + door_.count(Class::Trial) +
                                 door_.count(Class::Probed) + door_.count(Class::Proved) +
                                 door_.count(Class::Regular);
-    for (std::size_t left = hand_over_->due(resting, passed); left > 0; --left)
+    const auto step = service_.step(resting, now);
+    if (step.close_door) return drain();
+    if (step.let_all_go) return let_all_go();  // the others have the rest; what still comes is turned away
+    for (std::size_t left = step.let_go; left > 0; --left)
         if (const auto farewell = door_.hand_on()) send_away(*farewell);
-    hand_on_.expires_after(limits.step);
-    hand_on_.async_wait([this](auto cancelled) {
-        if (!cancelled) hand_on_some();
-    });
+    if (step.next) hand_on_.call_after(*step.next, [this] { hand_on(Clock::now()); });
+}
+void Clients::let_all_go() {
+    for (std::size_t left = door_.count(); left > 0; --left) {
+        const auto farewell = door_.hand_on();
+        if (!farewell) return;
+        send_away(*farewell);
+    }
 }
 
 /// Closing the listener resets connections that wait in its queue, with the requests written to them.
 void Clients::drain() {
-    if (draining_) return;
+    if (service_.closed()) return;
     if (!listener_.inherited())
         accept_waiting(kLastAccepts);  // those of an inherited one wait for the next process
-    draining_ = true;
+    service_.close();
     listener_.close();
     pause_.cancel();
-    for (std::size_t left = door_.count(); left > 0; --left) {
-        const auto farewell = door_.hand_on();
-        if (!farewell) return;
-        send_away(*farewell);
-    }
+    hand_on_.cancel();
+    let_all_go();
 }
 
 /// Of what has been read every request gets its answer; half a command is told to come again.
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <array>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -17,10 +16,11 @@
 
 #include "admission/door.hpp"
 #include "admission/fair_queue.hpp"
-#include "admission/hand_over.hpp"
 #include "admission/memory.hpp"
 #include "admission/overload.hpp"
 #include "admission/read_turns.hpp"
+#include "admission/service_state.hpp"
+#include "base/timer.hpp"
 #include "core/frontend.hpp"
 #include "fronts/resp2/enqueue.hpp"
 #include "fronts/resp2/listener.hpp"
@@ -57,6 +57,7 @@
 private:
     friend class ClientSession;
     using Session = std::shared_ptr<ClientSession>;
+    using Service = admission::ServiceState::Service;
     struct Request {
         Session session;
         Message message;
@@ -68,6 +69,7 @@
     // connections
     void accept();
     void accept_waiting(std::size_t most);
+    void pause_accepting(std::chrono::milliseconds span);
     void accept_failed(const boost::system::error_code& why);
     void make_room();
     void send_away(const admission::Door::Farewell& farewell);
@@ -77,10 +79,10 @@
     bool give_up_some(admission::Owner owner);
     void read_in_turn(const Session& session);
     void read_turn();
-    void hand_on_some();
-    void let_go();
+    void hand_on(admission::ServiceState::TimePoint now);
+    void let_all_go();
     /// No connection rests any more: each is closed between requests.
-    bool closing() const { return draining_ || service_ == Service::Out; }
+    bool closing() const { return service_.closed() || service_.service() == Service::Out; }
     /// Requests are still read from connections.
     bool reading() const { return reading_; }
     bool may_be_sending(const admission::Door::Farewell& farewell) const;
@@ -102,16 +104,13 @@
     admission::Overload overload_;
     admission::FairQueue<Request> waiting_;
     Listener listener_;
-    enum class Service { In, Leaving, Out };  // Leaving: PING says no, and messages are taken in
-    Service service_ = Service::In;
-    asio::steady_timer pause_, sweep_, hand_on_;
-    bool accepting_ = false, pausing_ = false, draining_ = false, making_room_ = false, working_ = false;
-    bool reading_in_turn_ = false, ending_ = false, reading_ = true;
+    admission::ServiceState service_;
+    Timer pause_, sweep_, hand_on_;
+    bool accepting_ = false, pausing_ = false, making_room_ = false, working_ = false;
+    bool reading_in_turn_ = false, reading_ = true;
     std::unordered_map<admission::Ticket, Session> sessions_;
     admission::MemoryShares memory_;  // of commands that have not ended, and of requests that wait
     admission::ReadTurns<Session> read_turns_;
-    std::optional<admission::HandOver> hand_over_;
-    std::chrono::steady_clock::time_point hand_over_since_{};
     DoorCounters counters_, told_;
     std::chrono::steady_clock::time_point told_at_{};
     std::array<char, 16 * 1024> in_{};  // of the connection that is read just now
--- a/src/program/standby_process.cpp
+++ b/src/program/standby_process.cpp
@@ -48,10 +48,7 @@
         end_ = step == handover::Waiting::Step::Own ? End::Owns : End::Leave;
         return io_.stop();
     }
-    step_.expires_after(kLook);
-    step_.async_wait([this](auto cancelled) {
-        if (!cancelled) look();
-    });
+    step_.call_after(kLook, [this] { look(); });
 }
 
 }  // namespace lockgw::program
--- a/src/program/standby_process.hpp
+++ b/src/program/standby_process.hpp
@@ -4,8 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "base/timer.hpp"
 #include "console/server.hpp"
 #include "handover/lock_files.hpp"
 #include "program/pending_orders.hpp"
@@ -38,7 +38,7 @@
     handover::Waiting waiting_;
     PendingOrders& pending_orders_;
     console::Server console_;
-    boost::asio::steady_timer step_;
+    Timer step_;
     End end_ = End::Leave;
 };
 
