--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -41,6 +41,7 @@
         }
         check_drains();
         check_waits();
+        check_returns();
         if (seen_.unknown > 0)
             violations_.push_back({Rule::UnknownMessage, "", std::to_string(seen_.unknown)});
         return std::move(violations_);
@@ -55,6 +56,17 @@
     Milliseconds both_ways() const { return 2 * seen_.one_way; }
     Milliseconds hold_up() const { return seen_.hold_ups ? kHoldUp : Milliseconds(0); }
 
+    // ---- a forwarder that an operator puts back serves ----
+
+    void check_returns() {
+        for (const ReturnToService& back : seen_.returns) {
+            if (back.serves) continue;
+            const double told = std::chrono::duration<double>(back.told - seen_.began).count();
+            violations_.push_back({Rule::NotBackInService, "",
+                "forwarder " + std::to_string(back.forwarder) + ", told at " + std::to_string(told) + " s"});
+        }
+    }
+
     // ---- a message that may have run is sent again only as its class allows; never two attempts out ----
 
     bool may_repeat(
@@ -227,6 +239,8 @@
             return "drain ignored";
         case Rule::WaitIgnored:
             return "wait ignored";
+        case Rule::NotBackInService:
+            return "not back in service";
         case Rule::UnknownMessage:
             break;
     }
@@ -268,8 +282,8 @@
         {"unasked", observations.unasked}, {"cut", observations.cut}, {"hung", observations.hung},
         {"withdrawn", withdrawn}, {"given_up", given_up}, {"answers", std::move(statuses)},
         {"restarts", std::move(restarts)}, {"drains", observations.drains.size()},
-        {"waits", observations.waits.size()}, {"dead_though_never_run", ended_unrun},
-        {"broken", std::move(broken)}};
+        {"returns", observations.returns.size()}, {"waits", observations.waits.size()},
+        {"dead_though_never_run", ended_unrun}, {"broken", std::move(broken)}};
 }
 
 }  // namespace lockgw::rig::soak
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -76,12 +76,20 @@
     std::optional<Clock::time_point> back;
 };
 
+/// An operator put a forwarder back in service.
+struct ReturnToService {
+    std::size_t forwarder = 0;
+    Clock::time_point told;  ///< the console's yes
+    bool serves = false;     ///< PING was answered with yes when that was due
+};
+
 struct Observations {
     Clock::time_point began;
     std::map<std::string, ObservedMessage> messages;  ///< by id
     std::vector<ObservedWait> waits;
     std::vector<Restart> restarts;
     std::vector<Drain> drains;
+    std::vector<ReturnToService> returns;
     std::uint64_t connections = 0;          ///< accepted by targets
     std::uint64_t copies = 0;               ///< second copies of answers that were written
     std::uint64_t unasked = 0;              ///< answers to no call that ended an idle connection
--- a/rig/soak/soak.cpp
+++ b/rig/soak/soak.cpp
@@ -2,16 +2,16 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <csignal>
 #include <set>
 #include <sstream>
 
 #include "rig/directory.hpp"
 #include "rig/node.hpp"
+#include "rig/soak/broken_file.hpp"
 #include "rig/soak/client_load.hpp"
+#include "rig/soak/questions.hpp"
 
 namespace lockgw::rig::soak {
 namespace {
@@ -20,11 +20,14 @@
 
 constexpr Milliseconds kAfterDeadline{3000};  // by then every final status is reported, also after a restart
 constexpr Milliseconds kLongestRestart{8000};
-constexpr Milliseconds kHoldUpEvery{700}, kLongestHoldUp{150};
+constexpr Milliseconds kHoldUpEvery{700}, kLongestHoldUp{150}, kBetweenHoldUps{300};
 constexpr Milliseconds kRestartEvery{5000}, kDownTime{600};
 constexpr Milliseconds kKillBehindTermination{3700};
 constexpr Milliseconds kReloadEvery{4000}, kDrainEvery{3000}, kShortestDrain{1500}, kLongestDrain{4000};
 constexpr Milliseconds kSpellEvery{6000}, kShortestSpell{2000}, kLongestSpell{3000};
+constexpr Milliseconds kConsoleDrainEvery{2000}, kShortestAway{50}, kLongestAway{2500}, kOrderAgain{200};
+constexpr Milliseconds kShortestConsoleHoldUp{20};
+constexpr Milliseconds kBackInServiceWithin{2000};  // the operators' days: 2 s after the second call
 constexpr Milliseconds kReadyPoll{20}, kCrowdReturns{100};
 constexpr std::size_t kSockets = 1024, kSocketsInACrowd = 160;
 constexpr std::size_t kMostLogLines = 12;  // of a story
@@ -135,9 +138,12 @@
     void start_forwarders() {
         const auto effects = draw_effects();
         for (std::size_t i = 0; i < plan_.forwarders; ++i) {
+            consoles_.push_back(free_endpoint());
             nodes_.push_back(std::make_unique<Node>(config_of(i, effects), plan_.program));
             nodes_.back()->start_ready();
             restarting_.push_back(false);
+            out_of_service_.push_back(false);
+            next_hold_up_.emplace_back();
             ClientPlan client;
             client.forwarder = i;
             client.address = nodes_.back()->address();
@@ -164,6 +170,7 @@
         static const char* const names[] = {"retryable", "dedup", "fragile"};
         Json config = make_config("127.0.0.1:1", directory_.address());
         config["name"] = "n" + std::to_string(forwarder);
+        config["console"] = rig::text_of(consoles_[forwarder]);
         config["settings"]["n_instances"] = plan_.forwarders;
         config["settings"]["me"] = forwarder;
         config["settings"]["family_info"]["slots"] = 64;
@@ -180,22 +187,57 @@
     void schedule_faults() {
         if (plan_.hold_ups) repeat(kHoldUpEvery, [this] { hold_up(); });
         if (restarts()) repeat(kRestartEvery, [this] { restart(); });
-        if (plan_.reloads) repeat(kReloadEvery, [this] { reload(); });
+        if (plan_.console_drains) repeat(kConsoleDrainEvery, [this] { drain_by_console(); });
+        if (plan_.reloads || plan_.broken_files) repeat(kReloadEvery, [this] { reload(); });
         if (plan_.drains) repeat(kDrainEvery, [this] { drain(); });
         if (plan_.hanging_spells) repeat(kSpellEvery, [this] { hang(); });
     }
     std::size_t any_forwarder() { return random_() % nodes_.size(); }
 
-    void hold_up() {
-        const std::size_t forwarder = any_forwarder();
+    void hold_up() { hold_up(any_forwarder(), up_to(kLongestHoldUp)); }
+    /// One after another would be one longer hold-up.
+    void hold_up(std::size_t forwarder, Milliseconds span) {
         const pid_t process = nodes_[forwarder]->pid();
-        if (process <= 0 || restarting_[forwarder]) return;
+        const auto now = Clock::now();
+        if (process <= 0 || restarting_[forwarder] || now < next_hold_up_[forwarder]) return;
+        next_hold_up_[forwarder] = now + span + kBetweenHoldUps;
         ::kill(process, SIGSTOP);
-        later(up_to(kLongestHoldUp), [process] { ::kill(process, SIGCONT); });
+        later(span, [process] { ::kill(process, SIGCONT); });
     }
     void reload() {
         const std::size_t forwarder = any_forwarder();
-        if (!restarting_[forwarder]) nodes_[forwarder]->reload(nodes_[forwarder]->config().dump());
+        if (restarting_[forwarder]) return;
+        Node& node = *nodes_[forwarder];
+        const bool broken = plan_.broken_files && random_() % 2 == 0;
+        node.reload(broken ? broken_file(node.config(), random_) : node.config().dump());
+    }
+    /// Out of service and back at any step of the drain; the order back comes while the forwarder is held up.
+    void drain_by_console() {
+        const std::size_t forwarder = any_forwarder();
+        if (restarting_[forwarder] || out_of_service_[forwarder]) return;
+        out_of_service_[forwarder] = true;
+        give_order(io_, consoles_[forwarder], "out-of-service", [](bool) {});
+        later(between(kShortestAway, kLongestAway), [this, forwarder] { put_back(forwarder); });
+    }
+    void put_back(std::size_t forwarder) {
+        hold_up(forwarder, between(kShortestConsoleHoldUp, kLongestHoldUp));
+        give_order(io_, consoles_[forwarder], "in-service", [this, forwarder](bool yes) {
+            if (!yes) return later(kOrderAgain, [this, forwarder] { put_back(forwarder); });
+            const auto told = Clock::now();
+            later(kBackInServiceWithin, [this, forwarder, told] { check_back_in_service(forwarder, told); });
+        });
+    }
+    void check_back_in_service(std::size_t forwarder, Clock::time_point told) {
+        const auto judged = [this, forwarder, told] {  // in a crowd the door may shut new connections
+            return !restarting_[forwarder] && !killed_since(forwarder, told) && plan_.crowd == 0;
+        };
+        if (!judged()) return void(out_of_service_[forwarder] = false);
+        const std::size_t number = observations_.returns.size();
+        observations_.returns.push_back({forwarder, told, false});
+        ask_ping(io_, nodes_[forwarder]->address(), [=, this](const std::string& answer) {
+            observations_.returns[number].serves = answer == "+PONG" || !judged();
+            out_of_service_[forwarder] = false;
+        });
     }
     /// Now and then all at once.
     void restart() {
@@ -227,24 +269,11 @@
     }
     /// Asks until the new process answers.
     void wait_ready(std::size_t number) {
-        struct Question {
-            explicit Question(boost::asio::io_context& io) : socket(io) {}
-            Tcp::socket socket;
-            std::array<char, 7> in{};
-        };
         const std::size_t forwarder = observations_.restarts[number].forwarder;
-        const auto question = std::make_shared<Question>(io_);
-        const auto again = [this, number] { later(kReadyPoll, [this, number] { wait_ready(number); }); };
-        question->socket.async_connect(nodes_[forwarder]->address(), [=, this](auto failed) {
-            if (failed) return again();
-            boost::system::error_code ignored;
-            boost::asio::write(question->socket, boost::asio::buffer(command({"PING"})), ignored);
-            boost::asio::async_read(question->socket, boost::asio::buffer(question->in),
-                [this, question, again, number, forwarder](auto unanswered, std::size_t) {
-                    if (unanswered) return again();
-                    observations_.restarts[number].ready = Clock::now();
-                    restarting_[forwarder] = false;
-                });
+        ask_ping(io_, nodes_[forwarder]->address(), [this, number, forwarder](const std::string& answer) {
+            if (answer.empty()) return later(kReadyPoll, [this, number] { wait_ready(number); });
+            observations_.restarts[number].ready = Clock::now();
+            restarting_[forwarder] = false;
         });
     }
     bool killed_since(std::size_t forwarder, Clock::time_point since) const {
@@ -310,7 +339,9 @@
     std::vector<std::unique_ptr<ClientLoad>> clients_;
     std::vector<std::unique_ptr<IdleCrowd>> crowds_;
     std::vector<std::unique_ptr<Node>> nodes_;
-    std::vector<bool> restarting_;
+    std::vector<Tcp::endpoint> consoles_;
+    std::vector<Clock::time_point> next_hold_up_;
+    std::vector<bool> restarting_, out_of_service_;
     bool faults_over_ = false;
 };
 
@@ -349,6 +380,8 @@
     plan.withdrawn = chance(0.6) ? 0.15 : 0;
     plan.bursts = chance(0.5) ? 0.15 : 0;
     plan.crowd = chance(0.2) ? 200 : 0;
+    plan.broken_files = chance(0.5);
+    plan.console_drains = chance(0.5);
 }
 
 Json text_of(const SoakPlan& plan) {
@@ -361,7 +394,8 @@
         {"keyed_window_ms", plan.keyed_window.count()}, {"hold_ups", plan.hold_ups}, {"kills", plan.kills},
         {"terminations", plan.terminations}, {"reloads", plan.reloads}, {"drains", plan.drains},
         {"hanging_spells", plan.hanging_spells}, {"impatient", plan.impatient}, {"withdrawn", plan.withdrawn},
-        {"bursts", plan.bursts}, {"crowd", plan.crowd}};
+        {"bursts", plan.bursts}, {"crowd", plan.crowd}, {"broken_files", plan.broken_files},
+        {"console_drains", plan.console_drains}};
 }
 
 SoakResult play(const SoakPlan& plan) { return Run(plan).play(); }
--- a/rig/soak/soak.hpp
+++ b/rig/soak/soak.hpp
@@ -21,11 +21,14 @@
     LinkFaults link;
     Milliseconds shortest_deadline{4000}, longest_deadline{4000};
     Milliseconds keyed_window{4000};
-    bool effects_drawn = false;   ///< which class may be repeated is drawn from the seed
-    bool hold_ups = false;        ///< a forwarder is stopped for up to 150 ms now and then
-    bool kills = false;           ///< a forwarder is killed and started again now and then
-    bool terminations = false;    ///< a forwarder gets SIGTERM, and SIGKILL 3.7 s later
-    bool reloads = false;         ///< a forwarder gets SIGHUP now and then
+    bool effects_drawn = false;  ///< which class may be repeated is drawn from the seed
+    bool hold_ups = false;       ///< a forwarder is stopped for up to 150 ms now and then
+    bool kills = false;          ///< a forwarder is killed and started again now and then
+    bool terminations = false;   ///< a forwarder gets SIGTERM, and SIGKILL 3.7 s later
+    bool reloads = false;        ///< a forwarder gets SIGHUP now and then
+    bool broken_files =
+        false;  ///< half of the reloads, which it turns on, find a file that is not to be taken
+    bool console_drains = false;  ///< operators take forwarders out of service and put them back
     bool drains = false;          ///< targets are drained and come back
     bool hanging_spells = false;  ///< all targets of a destination hang for 2 to 3 s now and then
     double impatient = 0;         ///< share of requests that are given up early
--- a/rig/soak_main.cpp
+++ b/rig/soak_main.cpp
@@ -33,6 +33,8 @@
     app.add_flag("--terminations", plan.terminations, "forwarders get SIGTERM, and SIGKILL 3.7 s later");
     app.add_flag("--hanging-spells", plan.hanging_spells, "destinations hang for 2 to 3 s now and then");
     app.add_option("--crowd", plan.crowd, "idle connections to each forwarder");
+    app.add_flag("--broken-files", plan.broken_files, "SIGHUP with sound and with broken files");
+    app.add_flag("--console-drains", plan.console_drains, "forwarders are taken out of service and put back");
     bool drawn = false;
     app.add_flag(
         "--drawn", drawn, "all faults are drawn from the seed; other options for faults are ignored");
