--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -45,6 +45,20 @@
     return known;
 }
 
+/// The message may have been delivered. The values tell what ended it: its time, its attempts or its window.
+void log_ended_in_doubt(const Entry& entry, const FinalStatus& status) {
+    const Moment now = moment_now();
+    const auto milliseconds_of = [](Time span) {
+        return std::chrono::duration_cast<milliseconds>(span).count();
+    };
+    const auto in_doubt_for = elapsed(entry.may_have_run()->since, now);
+    log::info("core", "ended in doubt",
+        {{"message", cometspoke::settings::id_text(entry.message.id)},
+            {"as", status.refused ? "bounced" : "dead"}, {"attempts", entry.attempts},
+            {"in_doubt_ms", in_doubt_for ? milliseconds_of(*in_doubt_for) : -1},
+            {"left_ms", milliseconds_of(time_until(entry.message.deadline, now))}});
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -367,7 +381,9 @@
 }
 /// Records how a message ended that was accepted in an earlier turn.
 Forwarder::Recorded Forwarder::record_final_status(MessageId id, const FinalStatus& status) {
-    if (journal_.find(id) == nullptr) return {};  // submitted in this turn: the reply is the final status
+    const Entry* entry = journal_.find(id);
+    if (entry == nullptr) return {};  // submitted in this turn: the reply is the final status
+    if (entry->may_have_run()) log_ended_in_doubt(*entry, status);
     journal_.end(id, status);
     recently_ended_.add(id, steady_now());
     recovery_.on_message_ended(id, false);
