--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -259,7 +259,7 @@
     MessageId message = 0;
     std::uint32_t attempt = 0;
 };
-/// Final answer: the message never ran, or a repeat of it does no harm. The client may retry after the given
+/// Final answer: the message never ran, or may be repeated at any time. The client may retry after the given
 /// time.
 struct Refuse {
     MessageId message = 0;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+constexpr Time kWindow{3'000'000};  // in which partners drop the repeat of an order
+constexpr Time kRetryAtOnce{2'000};
 constexpr Time kNetwork{1'000}, kRefresh{500'000}, kLeastNote{1'100}, kMostNote{40'000};
 constexpr Time kIdle{10'000'000}, kAgain{600'000}, kSlack{10'000};
 constexpr int kTries = 3;                // of a client: the first and two after refusals
@@ -36,7 +38,7 @@
     Settings settings;
     ClassSettings order, status;
     order.effect = Effect::Dedup;
-    order.window = Time(3'000'000), order.aim = Time(4'000'000), order.deadline = Time(12'000'000);
+    order.window = kWindow, order.aim = Time(4'000'000), order.deadline = Time(12'000'000);
     order.late_worth = 0.5;
     status.aim = Time(1'500'000), status.deadline = Time(5'000'000), status.worth = 2.0;
     settings.classes = {order, status};
@@ -88,6 +90,7 @@
     Time born{0};
     int tries = 0;
     bool over = false;
+    std::optional<Time> took_effect{};  // last, but for repeats that the partner dropped
 };
 struct Held {
     std::size_t job = 0;
@@ -290,12 +293,22 @@
         });
     }
     void act(std::size_t sender, const Refuse& refuse) {
-        if (const auto job = ended(sender, refuse.message); job && jobs_[*job].tries < kTries) {
-            const Time wait = std::max(kAgain, std::min(refuse.retry_after, Time(2'000'000)));
-            at(schedule_.now() + wait + after(0.3 * chance()), [this, job] { hand_in(*job); });
-        }
+        const auto job = ended(sender, refuse.message);
+        if (!job) return;
+        ++count_.partners[jobs_[*job].partner].ends_refused;
+        if (jobs_[*job].tries >= kTries) return;
+        if (settings_.retries_at_once)
+            return at(schedule_.now() + kRetryAtOnce, [this, job] { hand_in_at_once(*job); });
+        const Time wait = std::max(kAgain, std::min(refuse.retry_after, Time(2'000'000)));
+        at(schedule_.now() + wait + after(0.3 * chance()), [this, job] { hand_in(*job); });
+    }
+    void hand_in_at_once(std::size_t job) {
+        const auto& effect = jobs_[job].took_effect;
+        if (!effect || jobs_[job].kind != 0 || schedule_.now() < *effect + kWindow) hand_in(job);
+    }
+    void act(std::size_t sender, const Fail& fail) {
+        if (const auto job = ended(sender, fail.message)) ++count_.partners[jobs_[*job].partner].ends_failed;
     }
-    void act(std::size_t sender, const Fail& fail) { ended(sender, fail.message); }
     void act(std::size_t sender, const Send& send) {
         note(send.message * 31 + send.endpoint);
         OneSender& one = senders_[sender];
@@ -331,11 +344,22 @@
         if (partner.returned) partner.since.push_back(schedule_.now());
         const bool taken = partner.takes(schedule_.now());
         if (!taken) ++count_.partners[send.endpoint].refused;
+        if (taken) take_effect(jobs_[senders_[sender].held.at(send.message).job]);
         at(schedule_.now() + kNetwork + (taken ? partner.is.answer : Time(0)), [=, this] {
-            answer(
-                sender, send.message, attempt, taken ? Outcome::Served : Outcome::TurnedAway, sent, process);
+            const bool broken_off =
+                taken && partners_[send.endpoint].is.loses_answers && partners_[send.endpoint].limit <= 0;
+            const Outcome outcome = broken_off ? Outcome::ConnectionLost
+                                    : taken    ? Outcome::Served
+                                               : Outcome::TurnedAway;
+            answer(sender, send.message, attempt, outcome, sent, process);
         });
     }
+    void take_effect(Job& job) {
+        if (job.kind != 0) return;
+        if (job.took_effect && schedule_.now() <= *job.took_effect + kWindow) return;
+        if (job.took_effect) ++count_.partners[job.partner].took_effect_again;
+        job.took_effect = schedule_.now();
+    }
     void answer(std::size_t sender, MessageId id, std::uint32_t attempt, Outcome outcome, Time sent,
         std::size_t process, bool own = false) {
         OneSender& one = senders_[sender];
@@ -401,6 +425,8 @@
         sum.offered += one.offered, sum.in_time += one.in_time, sum.late += one.late;
         sum.calls += one.calls, sum.refused += one.refused, sum.early += one.early;
         sum.unconnected += one.unconnected, sum.connections += one.connections;
+        sum.ends_refused += one.ends_refused, sum.ends_failed += one.ends_failed;
+        sum.took_effect_again += one.took_effect_again;
     }
     return sum;
 }
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -25,6 +25,7 @@
     double limit = 20.0;
     std::vector<Change> changes;  ///< in order of time
     Time answer{70'000};
+    bool loses_answers = false;  ///< an outage breaks off the calls that it has taken and not answered
 };
 /// A sender's process is killed and starts again at once: what it held is handed to the new one by and by,
 /// and of what it had learned it believes a snapshot that is up to a second old (src/recovery).
@@ -42,7 +43,10 @@
     double notes_spoilt = 0.0;  ///< share of those that arrive
     Time least_wait{900'000};   ///< that a refusal tells, where it tells one
     double told = 0.45;         ///< share of refusals that do
-    double uneven = 0.0;        ///< of the traffic: the k-th sender gets a part of 1 / k^uneven
+    /// Clients come again at once after a refusal; with an order that has taken effect only inside its
+    /// window.
+    bool retries_at_once = false;
+    double uneven = 0.0;  ///< of the traffic: the k-th sender gets a part of 1 / k^uneven
     std::vector<Restart> restarts;
 };
 
@@ -50,7 +54,9 @@
     std::uint64_t offered = 0, in_time = 0, late = 0;  ///< first tries, and what became of them
     std::uint64_t calls = 0, refused = 0;              ///< calls that reached it, and those above its limit
     std::uint64_t unconnected = 0, connections = 0;
-    std::uint64_t early = 0;  ///< sent during a wait that its sender was told
+    std::uint64_t ends_refused = 0, ends_failed = 0;  ///< final answers to clients, of all tries
+    std::uint64_t took_effect_again = 0;              ///< orders, outside the window of their key
+    std::uint64_t early = 0;                          ///< sent during a wait that its sender was told
     /// After its last return, over all windows of Settings::fall that begin while it warms up: the most calls
     /// in one, as a share of N + 2 sqrt(N) + 2, where N is what the settings allow it then.
     double most_of_allowed = 0.0;
--- a/rig/directory.cpp
+++ b/rig/directory.cpp
@@ -111,6 +111,11 @@
     const std::lock_guard lock(mutex_);
     return notices_;
 }
+std::vector<Json> Directory::notices_from(std::size_t first) const {
+    const std::lock_guard lock(mutex_);
+    const auto begin = notices_.begin() + static_cast<std::ptrdiff_t>(std::min(first, notices_.size()));
+    return {begin, notices_.end()};
+}
 std::optional<Clock::time_point> Directory::notice_told(const std::string& id) const {
     const std::lock_guard lock(mutex_);
     const auto found = notices_told_.find(id);
--- a/rig/directory.hpp
+++ b/rig/directory.hpp
@@ -71,6 +71,8 @@
     std::optional<Clock::time_point> stop_told(const std::string& id) const;
     std::vector<std::string> requests() const;  ///< paths of list requests, in order
     std::vector<Json> notices() const;
+    /// Those behind the first so many.
+    std::vector<Json> notices_from(std::size_t first) const;
     /// How often the end of this message was told.
     std::size_t notices_of(const std::string& id) const;
     /// When the end of this message was told first; none if it was not.
--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -39,6 +39,7 @@
             check_ended(message);
             check_answered(message);
         }
+        check_effects();
         check_drains();
         check_waits();
         check_returns();
@@ -83,6 +84,29 @@
             }
     }
 
+    // ---- an order takes effect once, also where it was handed in again after a refusal ----
+
+    bool harms(
+        const ObservedMessage& message, const ObservedEffect& earlier, const ObservedEffect& effect) const {
+        if (message.effect == Effect::Repeatable || message.given_up) return false;
+        return message.effect == Effect::Unsafe ||
+               effect.received - earlier.received > seen_.keyed_window + kSlack;
+    }
+    void check_effects() {
+        for (const auto& [key, effects] : seen_.effects)
+            for (std::size_t i = 1; i < effects.size(); ++i) {
+                const std::string& id = effects[i].message;
+                if (harms(seen_.messages.at(id), effects[i - 1], effects[i]))
+                    broken(Rule::TookEffectAgain, id);
+            }
+    }
+    void tell_earlier_effects(std::ostream& out, const std::string& id) const {
+        const auto found = seen_.effects.find(seen_.messages.at(id).key);
+        if (found == seen_.effects.end() || found->second.size() < 2) return;
+        for (const ObservedEffect& effect : found->second)
+            out << "\n  its order took effect at " << seconds(effect.received) << " as " << effect.message;
+    }
+
     // ---- nothing is sent for a message that is over ----
 
     bool killed_behind(std::size_t forwarder, Clock::time_point when) const {
@@ -206,6 +230,7 @@
         }
         for (const std::string& status : message.final_statuses)
             out << "\n  reported " << status << " at " << seconds(*message.reported);
+        tell_earlier_effects(out, id);
         for (const Restart& restart : seen_.restarts) {
             if (restart.forwarder != message.forwarder) continue;
             out << "\n  n" << restart.forwarder << " " << restart.signals << " from " << seconds(restart.told)
@@ -227,6 +252,8 @@
     switch (rule) {
         case Rule::RanAgain:
             return "ran again";
+        case Rule::TookEffectAgain:
+            return "took effect again";
         case Rule::TwoAttemptsOut:
             return "two attempts out";
         case Rule::CalledAfterEnd:
@@ -249,6 +276,30 @@
 
 std::vector<Violation> check(const Observations& observations) { return Checker(observations).run(); }
 
+namespace {
+
+bool has_final_status(const ObservedMessage& message, const char* status) {
+    return std::count(message.final_statuses.begin(), message.final_statuses.end(), status) > 0;
+}
+
+/// How orders ended, counted over all messages by which one was handed in.
+nlohmann::json count_orders(const Observations& observations) {
+    std::set<std::string> all, delivered, refused, failed;
+    for (const auto& [id, message] : observations.messages) {
+        all.insert(message.key);
+        if (was_delivered(message)) delivered.insert(message.key);
+        if (message.turned_away || has_final_status(message, "bounced")) refused.insert(message.key);
+        if (has_final_status(message, "dead")) failed.insert(message.key);
+    }
+    std::size_t only_refused = 0, only_failed = 0;
+    for (const std::string& key : failed) only_failed += !delivered.contains(key);
+    for (const std::string& key : refused) only_refused += !delivered.contains(key) && !failed.contains(key);
+    return {{"all", all.size()}, {"delivered", delivered.size()}, {"refused_at_last", only_refused},
+        {"failed", only_failed}, {"refused_once", refused.size()}};
+}
+
+}  // namespace
+
 nlohmann::json report(const Observations& observations, const std::vector<Violation>& violations) {
     std::size_t accepted = 0, served = 0, calls = 0, ended_unrun = 0, withdrawn = 0, given_up = 0;
     for (const auto& [id, message] : observations.messages) {
@@ -260,8 +311,7 @@
         served += was_delivered(message);
         const bool never_ran = std::none_of(message.calls.begin(), message.calls.end(),
             [](const ObservedCall& call) { return call.may_have_run; });
-        const bool dead =
-            std::count(message.final_statuses.begin(), message.final_statuses.end(), "dead") > 0;
+        const bool dead = has_final_status(message, "dead");
         ended_unrun += dead && never_ran && !message.withdrawn;
     }
     nlohmann::json broken = nlohmann::json::array(), statuses = nlohmann::json::object();
@@ -283,7 +333,9 @@
         {"withdrawn", withdrawn}, {"given_up", given_up}, {"answers", std::move(statuses)},
         {"restarts", std::move(restarts)}, {"drains", observations.drains.size()},
         {"returns", observations.returns.size()}, {"waits", observations.waits.size()},
-        {"dead_though_never_run", ended_unrun}, {"broken", std::move(broken)}};
+        {"crashes", observations.crashes}, {"handed_in_again", observations.handed_in_again},
+        {"orders", count_orders(observations)}, {"dead_though_never_run", ended_unrun},
+        {"broken", std::move(broken)}};
 }
 
 }  // namespace lockgw::rig::soak
--- a/rig/soak/checker.hpp
+++ b/rig/soak/checker.hpp
@@ -11,6 +11,7 @@
 
 enum class Rule {
     RanAgain,          ///< a message that may have run was called again though its effect forbids it
+    TookEffectAgain,   ///< an order took effect twice, by one message or by those after a refusal
     TwoAttemptsOut,    ///< two calls of one message were out at once
     CalledAfterEnd,    ///< called again after its own 200 or 410, or after its final status
     EndedInSilence,    ///< taken on, and neither delivered nor ended in time
--- a/rig/soak/client_load.cpp
+++ b/rig/soak/client_load.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds kReconnect{50}, kLongestPatience{30}, kEarlyWithdrawal{400};
 constexpr std::uint64_t kIdsOfOneClient = 1u << 24;
 constexpr std::size_t kMostRecent = 400;
+constexpr int kMostTries = 3;  // the first and two after refusals
 
 std::string id_text(std::uint64_t number) {
     char text[17];
@@ -76,19 +77,31 @@
 
 void ClientLoad::submit() {
     static const char* const classes[] = {"safe", "keyed", "unsafe", "unsafe"};
+    const std::string message_class = classes[random_() % std::size(classes)];
+    const auto destination =
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(plan_.destinations));
+    const Milliseconds deadline =
+        plan_.shortest_deadline + up_to(plan_.longest_deadline - plan_.shortest_deadline + Milliseconds(1));
+    hand_in({"", Clock::now(), 0}, message_class, destination, deadline);
+}
+
+/// As a new message.
+void ClientLoad::hand_in(
+    Order order, const std::string& message_class, std::int64_t destination, Milliseconds deadline) {
     const std::string id = id_text((plan_.forwarder + 1) * kIdsOfOneClient + ++submitted_);
+    if (order.key.empty()) order.key = id;
+    const std::string mark = ++order.tries > 1 ? ",r=1" : "";
     ObservedMessage& message = observations_.messages[id];
-    message.message_class = classes[random_() % std::size(classes)];
-    message.effect = plan_.effects.at(message.message_class);
-    message.destination =
-        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(plan_.destinations));
+    message.message_class = message_class;
+    message.key = order.key;
+    message.effect = plan_.effects.at(message_class);
+    message.destination = destination;
     message.forwarder = plan_.forwarder;
     message.submitted = Clock::now();
-    message.deadline =
-        plan_.shortest_deadline + up_to(plan_.longest_deadline - plan_.shortest_deadline + Milliseconds(1));
-    const std::string names = "c=" + message.message_class +
-                              ",t=acme,d=" + std::to_string(message.deadline.count()) + ",k=" + id +
-                              ",dest=" + std::to_string(message.destination);
+    message.deadline = deadline;
+    const std::string names = "c=" + message_class + ",t=acme,d=" + std::to_string(deadline.count()) +
+                              ",k=" + order.key + ",dest=" + std::to_string(destination) + mark;
+    if (plan_.hands_in_again) orders_.emplace(id, order);
     recent_.push_back(id);
     if (recent_.size() > kMostRecent) recent_.pop_front();
     if (chance(plan_.withdrawn)) later(up_to(withdrawal_by(message)), [this, id] { withdraw(id); });
@@ -105,6 +118,20 @@
         });
 }
 
+void ClientLoad::on_refused(const std::string& id) {
+    const auto found = orders_.find(id);
+    if (found == orders_.end()) return;
+    const Order order = found->second;
+    orders_.erase(found);
+    const ObservedMessage message = observations_.messages.at(id);
+    const bool in_window =
+        message.effect != Effect::Keyed || Clock::now() - order.first_submitted < plan_.keyed_window;
+    if (stopped_ || !session_->connected || order.tries >= kMostTries || message.withdrawn || !in_window)
+        return;
+    ++observations_.handed_in_again;
+    hand_in(order, message.message_class, message.destination, message.deadline);
+}
+
 /// Half of them early, while most messages are still open.
 Milliseconds ClientLoad::withdrawal_by(const ObservedMessage& message) {
     return chance(0.5) ? kEarlyWithdrawal : message.deadline;
@@ -164,6 +191,10 @@
             const std::string id = session->unanswered.front().id;
             session->unanswered.pop_front();
             if (line.starts_with("+OK")) observations_.messages[id].accepted = Clock::now();
+            if (line.starts_with("-BUSY")) {
+                observations_.messages[id].turned_away = true;
+                on_refused(id);
+            }
         }
         read(session);
     });
--- a/rig/soak/client_load.hpp
+++ b/rig/soak/client_load.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -29,6 +30,10 @@
     double impatient = 0;  ///< share of requests that are given up within 30 ms
     double withdrawn = 0;  ///< share of messages that are withdrawn, at any time until their deadline
     double bursts = 0;     ///< withdrawals of all messages of one destination, a second
+    /// Refused messages are handed in again at once, with a new id and the same key; one with a key only
+    /// while the window since it was first handed in has not passed, before which no call can have been made.
+    bool hands_in_again = false;
+    Milliseconds keyed_window{4000};
 };
 
 class ClientLoad {
@@ -40,6 +45,8 @@
         Observations& observations, KilledSince killed_since);
     void start();
     void stop();
+    /// The agent was told that this message was refused.
+    void on_refused(const std::string& id);
 
 private:
     struct Request {
@@ -51,8 +58,16 @@
     bool chance(double share);
     Milliseconds up_to(Milliseconds most);
     void later(Milliseconds delay, std::function<void()> step);
+    /// What a client wants delivered, by one message or several, one after another.
+    struct Order {
+        std::string key;
+        Clock::time_point first_submitted;
+        int tries = 0;
+    };
     void tick();
     void submit();
+    void hand_in(
+        Order order, const std::string& message_class, std::int64_t destination, Milliseconds deadline);
     void send(Request request);
     void withdraw(const std::string& id);
     Milliseconds withdrawal_by(const ObservedMessage& message);
@@ -70,7 +85,8 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<Session> session_;
     std::deque<Request> to_repeat_;
-    std::deque<std::string> recent_;  // ids, the newest last
+    std::deque<std::string> recent_;       // ids, the newest last
+    std::map<std::string, Order> orders_;  // by the id of their last message
     std::uint64_t submitted_ = 0;
     bool stopped_ = false;
 };
--- a/rig/soak/faulty_target.cpp
+++ b/rig/soak/faulty_target.cpp
@@ -63,6 +63,14 @@
             });
     }
 
+    /// Bytes on their way to the peer are lost, and so is what it has not read yet.
+    void reset() {
+        give_up_all();
+        boost::system::error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
 private:
     using Parser = http::request_parser<http::string_body>;
 
@@ -117,15 +125,26 @@
         waiting_.pop_front();
         if (target_.hangs_until_ > Clock::now() || chance(faults().hung)) {
             ++observations().hung;
+            take_effect();
             return;
         }
         const PlannedAnswer planned = plan_answer();
+        if (planned.ran) take_effect();
         const Milliseconds service = planned.ran ? up_to(faults().service) : Milliseconds(1);
         later(service, [self = shared_from_this(), turn = turn_, planned] {
             if (turn != self->turn_) return;
             self->chance(self->faults().reset) ? self->reset() : self->answer(planned);
         });
     }
+    /// Drops the repeat of a keyed order within its window.
+    void take_effect() {
+        const ObservedMessage& message = message_of(*call_);
+        const Clock::time_point received = observed(*call_).received;
+        auto& effects = observations().effects[message.key];
+        const bool dropped = message.effect == Effect::Keyed && !effects.empty() &&
+                             received - effects.back().received <= observations().keyed_window;
+        if (!dropped) effects.push_back({received, call_->first});
+    }
     /// By the true state of the message, then by chance.
     PlannedAnswer plan_answer() {
         const ObservedMessage& message = message_of(*call_);
@@ -178,12 +197,6 @@
         boost::system::error_code ignored;
         socket_.close(ignored);
     }
-    void reset() {
-        give_up_all();
-        boost::system::error_code ignored;
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket_.close(ignored);
-    }
 
     // ---- answers ----
 
@@ -268,15 +281,42 @@
       random_(random),
       observations_(observations),
       ended_(std::move(ended)),
-      acceptor_(io, {asio::ip::address_v4::loopback(), 0}) {
+      acceptor_(io) {
+    bind();
+    listen();
+}
+
+/// To the address of before, if there was one. A bound socket that does not listen refuses connections.
+void FaultyTarget::bind() {
+    acceptor_.open(address_.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(address_);
+    address_ = acceptor_.local_endpoint();
+}
+void FaultyTarget::listen() {
+    acceptor_.listen();
+    down_ = false;
     accept();
 }
 
+void FaultyTarget::crash_for(Milliseconds span) {
+    if (std::exchange(down_, true)) return;
+    acceptor_.close();
+    bind();
+    for (const auto& weak : std::exchange(connections_, {}))
+        if (const auto connection = weak.lock()) connection->reset();
+    auto timer = std::make_shared<asio::steady_timer>(io_, span);
+    timer->async_wait([this, timer](auto) { listen(); });
+}
+
 void FaultyTarget::accept() {
     acceptor_.async_accept([this](auto failed, Tcp::socket socket) {
         if (failed) return;
         const std::uint64_t number = ++observations_.connections;
-        std::make_shared<Connection>(*this, std::move(socket), number)->read();
+        const auto connection = std::make_shared<Connection>(*this, std::move(socket), number);
+        std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+        connections_.push_back(connection);
+        connection->read();
         accept();
     });
 }
--- a/rig/soak/faulty_target.hpp
+++ b/rig/soak/faulty_target.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <vector>
 
 #include "rig/soak/observations.hpp"
 
@@ -43,12 +44,17 @@
 
     FaultyTarget(asio::io_context& io, std::size_t number, const LinkFaults& faults, std::mt19937_64& random,
         Observations& observations, Ended ended);
-    Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    Tcp::endpoint address() const { return address_; }
+    /// Its process dies: its connections are reset, also those with calls out, and new ones are refused until
+    /// it is back.
+    void crash_for(Milliseconds span);
     /// Calls are taken and none is answered until then.
     void hang_until(Clock::time_point until) { hangs_until_ = until; }
 
 private:
     class Connection;
+    void bind();
+    void listen();
     void accept();
 
     asio::io_context& io_;
@@ -58,7 +64,10 @@
     Observations& observations_;
     Ended ended_;
     Clock::time_point shut_until_{}, hangs_until_{};
+    Tcp::endpoint address_{asio::ip::address_v4::loopback(), 0};
     Tcp::acceptor acceptor_;
+    bool down_ = true;
+    std::vector<std::weak_ptr<Connection>> connections_;
 };
 
 }  // namespace lockgw::rig::soak
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -37,6 +37,7 @@
 
 struct ObservedMessage {
     std::string message_class;
+    std::string key;  ///< the same for all messages by which one order is handed in again
     Effect effect = Effect::Unsafe;
     std::int64_t destination = 0;
     std::size_t forwarder = 0;
@@ -47,12 +48,20 @@
     bool given_up = false;
     /// The request's connection ended with no reply although its last byte had been written, twice.
     bool closed_unanswered = false;
+    /// The request was answered -BUSY.
+    bool turned_away = false;
     std::optional<Clock::time_point> withdrawn;
     std::vector<ObservedCall> calls;            ///< in the order of their last bytes
     std::vector<std::string> final_statuses;    ///< "dead" or "bounced", as reported to the agent
     std::optional<Clock::time_point> reported;  ///< the first of them
 };
 
+/// An order took effect at a destination, by a call of this message.
+struct ObservedEffect {
+    Clock::time_point received;  ///< the call's last byte
+    std::string message;
+};
+
 /// A wait that a target told a forwarder.
 struct ObservedWait {
     std::size_t forwarder = 0, target = 0;
@@ -86,6 +95,8 @@
 struct Observations {
     Clock::time_point began;
     std::map<std::string, ObservedMessage> messages;  ///< by id
+    /// By key. A target drops the repeat of a keyed order within the window of its last effect.
+    std::map<std::string, std::vector<ObservedEffect>> effects;
     std::vector<ObservedWait> waits;
     std::vector<Restart> restarts;
     std::vector<Drain> drains;
@@ -95,6 +106,8 @@
     std::uint64_t unasked = 0;              ///< answers to no call that ended an idle connection
     std::uint64_t cut = 0;                  ///< answers that broke off
     std::uint64_t hung = 0;                 ///< calls that were not answered
+    std::uint64_t crashes = 0;              ///< of all targets of a destination
+    std::uint64_t handed_in_again = 0;      ///< messages, after a refusal
     std::uint64_t unknown = 0;              ///< calls of messages that nobody handed in
     std::map<int, std::uint64_t> statuses;  ///< answers written, by status
     Milliseconds keyed_window{4000};
--- a/rig/soak/soak.cpp
+++ b/rig/soak/soak.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds kKillBehindTermination{3700};
 constexpr Milliseconds kReloadEvery{4000}, kDrainEvery{3000}, kShortestDrain{1500}, kLongestDrain{4000};
 constexpr Milliseconds kSpellEvery{6000}, kShortestSpell{2000}, kLongestSpell{3000};
+constexpr Milliseconds kCrashEvery{5000}, kShortestCrash{1500}, kLongestCrash{6000};
+constexpr Milliseconds kNoticePoll{5};
 constexpr Milliseconds kConsoleDrainEvery{2000}, kShortestAway{50}, kLongestAway{2500}, kOrderAgain{200};
 constexpr Milliseconds kShortestConsoleHoldUp{20};
 constexpr Milliseconds kBackInServiceWithin{2000};  // the operators' days: 2 s after the second call
@@ -82,6 +84,7 @@
         observations_.began = Clock::now();
         for (auto& client : clients_) client->start();
         schedule_faults();
+        if (plan_.hand_in_again) pass_on_refusals();
         io_.run_for(plan_.span);
         faults_over_ = true;
         for (auto& client : clients_) client->stop();
@@ -155,6 +158,8 @@
             client.impatient = plan_.impatient;
             client.withdrawn = plan_.withdrawn;
             client.bursts = plan_.bursts;
+            client.hands_in_again = plan_.hand_in_again;
+            client.keyed_window = plan_.keyed_window;
             clients_.push_back(std::make_unique<ClientLoad>(io_, client, random_, observations_,
                 [this, i](Clock::time_point since) { return killed_since(i, since); }));
             if (plan_.crowd > 0)
@@ -191,6 +196,7 @@
         if (plan_.reloads || plan_.broken_files) repeat(kReloadEvery, [this] { reload(); });
         if (plan_.drains) repeat(kDrainEvery, [this] { drain(); });
         if (plan_.hanging_spells) repeat(kSpellEvery, [this] { hang(); });
+        if (plan_.crashes) repeat(kCrashEvery, [this] { crash(); });
     }
     std::size_t any_forwarder() { return random_() % nodes_.size(); }
 
@@ -306,6 +312,25 @@
             targets_[destination * plan_.targets_each + i]->hang_until(until);
     }
 
+    void crash() {
+        const auto destination = random_() % static_cast<std::uint64_t>(plan_.destinations);
+        const auto down_for = between(kShortestCrash, kLongestCrash);
+        ++observations_.crashes;
+        for (std::size_t i = 0; i < plan_.targets_each; ++i)
+            targets_[destination * plan_.targets_each + i]->crash_for(down_for);
+    }
+    /// Tells clients of the refusals that the agent has heard since.
+    void pass_on_refusals() {
+        for (const Json& notice : directory_.notices_from(notices_read_)) {
+            ++notices_read_;
+            const std::string id = notice.at("ref").get<std::string>();
+            const auto found = observations_.messages.find(id);
+            if (notice.at("result") == "bounced" && found != observations_.messages.end())
+                clients_[found->second.forwarder]->on_refused(id);
+        }
+        later(kNoticePoll, [this] { pass_on_refusals(); });
+    }
+
     void read_final_statuses() {
         for (const Json& notice : directory_.notices()) {
             const std::string id = notice.at("ref").get<std::string>();
@@ -342,6 +367,7 @@
     std::vector<Tcp::endpoint> consoles_;
     std::vector<Clock::time_point> next_hold_up_;
     std::vector<bool> restarting_, out_of_service_;
+    std::size_t notices_read_ = 0;
     bool faults_over_ = false;
 };
 
@@ -382,6 +408,8 @@
     plan.crowd = chance(0.2) ? 200 : 0;
     plan.broken_files = chance(0.5);
     plan.console_drains = chance(0.5);
+    plan.crashes = chance(0.5);
+    plan.hand_in_again = chance(0.5);
 }
 
 Json text_of(const SoakPlan& plan) {
@@ -395,7 +423,8 @@
         {"terminations", plan.terminations}, {"reloads", plan.reloads}, {"drains", plan.drains},
         {"hanging_spells", plan.hanging_spells}, {"impatient", plan.impatient}, {"withdrawn", plan.withdrawn},
         {"bursts", plan.bursts}, {"crowd", plan.crowd}, {"broken_files", plan.broken_files},
-        {"console_drains", plan.console_drains}};
+        {"console_drains", plan.console_drains}, {"crashes", plan.crashes},
+        {"hand_in_again", plan.hand_in_again}};
 }
 
 SoakResult play(const SoakPlan& plan) { return Run(plan).play(); }
--- a/rig/soak/soak.hpp
+++ b/rig/soak/soak.hpp
@@ -31,10 +31,12 @@
     bool console_drains = false;  ///< operators take forwarders out of service and put them back
     bool drains = false;          ///< targets are drained and come back
     bool hanging_spells = false;  ///< all targets of a destination hang for 2 to 3 s now and then
-    double impatient = 0;         ///< share of requests that are given up early
-    double withdrawn = 0;         ///< share of messages that are withdrawn
-    double bursts = 0;            ///< withdrawals of a whole destination, by each client, a second
-    std::size_t crowd = 0;        ///< idle connections to each forwarder
+    bool crashes = false;  ///< all targets of a destination die with calls out, and are back after a while
+    bool hand_in_again = false;  ///< clients hand refused messages in again at once
+    double impatient = 0;        ///< share of requests that are given up early
+    double withdrawn = 0;        ///< share of messages that are withdrawn
+    double bursts = 0;           ///< withdrawals of a whole destination, by each client, a second
+    std::size_t crowd = 0;       ///< idle connections to each forwarder
 };
 
 /// Draws the faults of a run from its seed; each kind is in some runs and not in others.
--- a/rig/soak_main.cpp
+++ b/rig/soak_main.cpp
@@ -13,7 +13,8 @@
 
 int main(int argc, char** argv) try {
     lockgw::rig::soak::SoakPlan plan;
-    std::int64_t seconds = plan.span.count(), copy_lag = 0, one_way = 0;
+    std::int64_t seconds = plan.span.count(), copy_lag = 0, one_way = 0,
+                 keyed_window = plan.keyed_window.count();
     plan.link.refused = 0.3;
     CLI::App app("Real forwarders under seeded faults");
     app.add_option("--program", plan.program, "the forwarder")->required();
@@ -32,6 +33,9 @@
     app.add_option("--bursts", plan.bursts, "withdrawals of a whole destination by each client, a second");
     app.add_flag("--terminations", plan.terminations, "forwarders get SIGTERM, and SIGKILL 3.7 s later");
     app.add_flag("--hanging-spells", plan.hanging_spells, "destinations hang for 2 to 3 s now and then");
+    app.add_option("--keyed-window-ms", keyed_window, "targets drop the repeat of a key for so long");
+    app.add_flag("--crashes", plan.crashes, "the targets of a destination die with calls out now and then");
+    app.add_flag("--hand-in-again", plan.hand_in_again, "clients hand refused messages in again at once");
     app.add_option("--crowd", plan.crowd, "idle connections to each forwarder");
     app.add_flag("--broken-files", plan.broken_files, "SIGHUP with sound and with broken files");
     app.add_flag("--console-drains", plan.console_drains, "forwarders are taken out of service and put back");
@@ -44,6 +48,7 @@
     plan.span = std::chrono::seconds(seconds);
     plan.link.copy_lag = std::chrono::milliseconds(copy_lag);
     plan.link.one_way = std::chrono::milliseconds(one_way);
+    plan.keyed_window = std::chrono::milliseconds(keyed_window);
     if (drawn) lockgw::rig::soak::draw_faults(plan);
     const auto result = lockgw::rig::soak::play(plan);
     std::cout << result.report.dump() << '\n';
--- a/src/base/final_status.hpp
+++ b/src/base/final_status.hpp
@@ -6,7 +6,8 @@
 namespace lockgw {
 
 struct FinalStatus {
-    bool refused = false;  ///< the client may send it again; otherwise it failed ("dead")
+    /// Handing it in again does no harm, at any time and at any forwarder; otherwise it failed ("dead").
+    bool refused = false;
     std::chrono::milliseconds retry_after{0};
     /// Owed for a delivery whose answer may have been another call's. For the log; not kept in the journal.
     bool perhaps_delivered = false;
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -194,6 +194,7 @@
     void carry_out(const cometspoke::Probe&, const Recorded&) {}      // probes are not allowed on sockets
     void carry_out(const cometspoke::Watch&, const Recorded&) {}      // discovery is always watched
     void carry_out(const cometspoke::FetchList&, const Recorded&) {}  // the full list is fetched at the start
+    FinalStatus owed_status(const Entry& entry) const;
     void end_message(MessageId id, const FinalStatus& status);
     void report_ended();
 
--- a/src/core/forwarder_recovery.cpp
+++ b/src/core/forwarder_recovery.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+/// The final status that an earlier process has recorded. Earlier builds refused keyed messages that may have
+/// run; such a message has failed: handing it in again may do harm.
+FinalStatus Forwarder::owed_status(const Entry& entry) const {
+    if (!entry.notice->refused || !entry.may_have_run()) return *entry.notice;
+    const ClassSettings* terms = entry.message.terms.get();
+    if (const auto named = config_.names.classes.find(entry.message.message_class);
+        terms == nullptr && named != config_.names.classes.end())
+        terms = &config_.settings.classes[named->second];
+    const bool repeatable = terms != nullptr && terms->effect == Effect::Retryable;
+    return repeatable ? *entry.notice : FinalStatus{};
+}
+
 /// Takes over the messages that an earlier process held, under the same class settings and with what is known
 /// of their attempts. `at_once`: all of them now, as after a hand-over; otherwise the recovery releases them
 /// over time, if pacing is on.
@@ -109,7 +121,7 @@
     for (const Entry* entry : journal_.in_order()) {
         const Message& message = entry->message;
         if (entry->notice) {
-            discovery_.report_final_status(message.id, *entry->notice);
+            discovery_.report_final_status(message.id, owed_status(*entry));
             recently_ended_.add(message.id, steady_now());  // the entry goes when the agent has taken it
             continue;
         }
--- a/src/policy/message_lifecycle.hpp
+++ b/src/policy/message_lifecycle.hpp
@@ -133,13 +133,12 @@
         if (message.attempts >= class_settings(message).max_attempts) return kLongAgo;
         return std::min(message.deadline, resend_deadline(message));
     }
-    // Whether the client may be told that the message never ran, or that a repeat of it does no harm
-    // (Refuse).
+    // Whether the client may be told that handing the message in again does no harm (Refuse). Once a dedup
+    // message may have run this cannot be promised: its repeat is a new message, without a doubt, to
+    // whichever sender takes it, and may be sent after the window of the first attempt.
     bool may_refuse(const Message& message) const {
-        if (message.open_attempts == 0 && !message.doubt_since) return true;
-        const ClassSettings& message_class = settings_.classes[message.message_class];
-        return message_class.effect == Effect::Retryable ||
-               (message_class.effect == Effect::Dedup && message_class.dedup_scope == DedupScope::All);
+        if (settings_.classes[message.message_class].effect == Effect::Retryable) return true;
+        return message.open_attempts == 0 && !message.doubt_since;
     }
     // Gives the message its final answer.
     void end_message(MessageId id, Time now) {
--- a/tests/dedup_window_test.cpp
+++ b/tests/dedup_window_test.cpp
@@ -1,5 +1,7 @@
 // A keyed message that may have run is retried only within its deduplication window, while the target still
-// remembers the key, whatever happens between the decision on a call and its last byte.
+// remembers the key, whatever happens between the decision on a call and its last byte. And it is never
+// refused: a client that hands it in again cannot tell whether the repeat will go out before the window has
+// closed.
 #include <gtest/gtest.h>
 
 #include <map>
@@ -59,8 +61,24 @@
     EXPECT_EQ(targets.calls().size(), kTargets) << node.log();
 }
 
-/// A journal of an earlier process, written while the wall clock was an hour away from its present time.
-class ClockSetDuringRestart : public DedupWindowTest {
+// Its target takes the order, dies before it answers and is down until the window has closed.
+TEST_F(DedupWindowTest, AnOrderThatWasOutAtACrashIsNotRefused) {
+    CallScript script;
+    script.kind = CallScript::Kind::Reset;
+    script.delay = 200ms;
+    targets.usual(0, script);
+    start_with({member("s-0", 0)});
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, new_message_id(), "keyed", 7, 16'000), "+OK");
+    ASSERT_TRUE(targets.wait_calls(1, kDeadline));
+    targets.refuse(0, kWindow + 2s);
+    ASSERT_TRUE(eventually([&] { return !directory.notices().empty(); })) << node.log();
+    EXPECT_EQ(directory.notices().front().at("result"), "dead") << "the client would hand it in again";
+    EXPECT_EQ(targets.calls().size(), 1u) << node.log();
+}
+
+/// A journal of an earlier process.
+class EarlierJournalTest : public DedupWindowTest {
 protected:
     using Span = std::chrono::microseconds;
     /// The moment at these distances from now, on the steady clock and on the wall clock, which was set
@@ -84,6 +102,18 @@
         const bool kept = !attempted || journal.begin_attempt(id, "s-0", *attempted);
         ASSERT_TRUE(kept);
     }
+    /// The result that was reported for the message with this number.
+    std::string result_of(MessageId id) {
+        const std::string name = cometspoke::settings::id_text(id);
+        std::string result;
+        const auto reported = [&] {
+            for (const Json& notice : directory.notices())
+                if (notice.at("ref") == name) result = notice.at("result");
+            return !result.empty();
+        };
+        EXPECT_TRUE(eventually(reported)) << node.log();
+        return result;
+    }
     std::set<std::string> keys_called() const {
         std::set<std::string> keys;
         for (const auto& call : targets.calls()) keys.insert(call.key);
@@ -91,6 +121,9 @@
     }
 };
 
+/// Written while the wall clock was an hour away from its present time.
+class ClockSetDuringRestart : public EarlierJournalTest {};
+
 TEST_F(ClockSetDuringRestart, WindowAndDeadlineFollowTheSteadyClock) {
     const Moment in_a_minute = moment_at(60s, 60s);
     // The clock was set back: the attempt seems to lie in the future.
@@ -117,5 +150,28 @@
     EXPECT_EQ(targets.calls().size(), 0u) << node.log();
 }
 
+TEST_F(EarlierJournalTest, AMessageFoundBehindItsWindowIsNotRefused) {
+    leave_in_journal(1, "keyed", moment_at(60s, 60s), moment_at(-kWindow - 2s, -kWindow - 2s));
+    start_with({member("s-0", 0)});
+    EXPECT_EQ(result_of(1), "dead");
+    EXPECT_EQ(targets.calls().size(), 0u) << node.log();
+}
+
+// An earlier build refused messages that may have run. Its refusal may not have reached the agent yet.
+TEST_F(EarlierJournalTest, ARefusalOfAnEarlierBuildIsNotReportedForAMessageThatMayHaveRun) {
+    const Moment in_a_minute = moment_at(60s, 60s);
+    leave_in_journal(1, "keyed", in_a_minute, moment_at(-1s, -1s));
+    leave_in_journal(2, "keyed", in_a_minute, {});
+    leave_in_journal(3, "safe", in_a_minute, moment_at(-1s, -1s));
+    {
+        Journal journal(node.state(), 1 << 20);
+        for (const MessageId id : {1, 2, 3}) journal.end(id, {true, 4500ms});
+    }
+    start_with({member("s-0", 0)});
+    EXPECT_EQ(result_of(1), "dead");
+    EXPECT_EQ(result_of(2), "bounced");  // it never ran
+    EXPECT_EQ(result_of(3), "bounced");  // it may be repeated freely
+}
+
 }  // namespace
 }  // namespace lockgw
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -145,7 +145,7 @@
     void check(const Refuse& refuse) {
         const TrackedMessage& tracked = tracked_.at(refuse.message);
         const Effect effect = settings_.classes[tracked.event.message_class].effect;
-        if (effect == Effect::Fragile) {
+        if (effect != Effect::Retryable) {
             ASSERT_FALSE(tracked.doubtful_since || tracked.in_flight > 0)
                 << "refused although it may have run";
         }
--- a/tests/reference/logic_before.cpp
+++ b/tests/reference/logic_before.cpp
@@ -894,10 +894,8 @@
     }
 
     bool may_refuse(const Message& message) const {
-        if (message.out == 0 && !message.doubt_since) return true;
-        const ClassSettings& kind = settings_.classes[message.message_class];
-        return kind.effect == Effect::Retryable ||
-               (kind.effect == Effect::Dedup && kind.dedup_scope == DedupScope::All);
+        if (settings_.classes[message.message_class].effect == Effect::Retryable) return true;
+        return message.out == 0 && !message.doubt_since;
     }
     void end(MessageId id, Time now) {
         // at its deadline a client has no time to come again: a refusal would promise what helps nobody
