Poller: an answer whose time has passed is evaluated once

Cause: an answer waited in its socket while the process was held up past the request's limit of 0.4 s. handle_answer() took the connection out of the map and evaluated the answer while the schedule still had the request as waiting; the handler of a report enables or disables its poller, which ran the schedule, which had the request cancelled, and the cancel took the connection from the map a second time. Evidence: PollerTest.AnAnswerWhoseTimeHasPassedIsEvaluatedOnce forces that order; on the code before it ends with that very message under the sanitizers, and in release with SIGSEGV.

Fix: the request enters Processing, which has no limits, before its answer is evaluated, so that no run of the schedule can cancel it. Related: a handler that sets another agent while two requests time out ended in the same fault (PollerTest.AnotherAgentIsSetWhileRequestsTimeOut); the steps are void once the agent has changed.

--- a/src/discovery/poll_schedule.hpp
+++ b/src/discovery/poll_schedule.hpp
@@ -51,7 +51,7 @@
         Connecting,
         Waiting,
         Reading,
-        Processing,  ///< the answer is complete; this process is still parsing or applying it
+        Processing,  ///< the answer is complete or has failed; this process is still evaluating it
     };
     enum class Result { Succeeded, Failed, Overloaded };
     /// What the caller has to do. No request occurs in more than one member.
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -27,6 +27,7 @@
 }
 
 void Poller::cancel_all() {
+    ++agent_changes_;
     timer_.cancel();
     schedule_.reset();
     for (const auto& [request, connection] : in_flight_) connection->cancel();
@@ -45,12 +46,16 @@
 
 void Poller::run_schedule() {
     const PollSchedule::Steps steps = schedule_.next_steps(PollSchedule::Clock::now());
+    // A handler may set another agent, which cancels all requests and runs the schedule anew.
+    const auto stale = [this, changes = agent_changes_] { return agent_changes_ != changes; };
     for (const std::uint64_t request : steps.cancel) {
-        const Connection connection = std::move(in_flight_.extract(request).mapped());
-        evaluate(request, connection->cancel());
+        cancel_request(request);
+        if (stale()) return;
+    }
+    for (const std::uint64_t request : steps.inspect) {
+        inspect_partial(request);
+        if (stale()) return;
     }
-    if (on_partial_answer_)
-        for (const std::uint64_t request : steps.inspect) inspect_partial(request);
     if (steps.start) start_request(*steps.start);
     spare_descriptor_.acquire();
     arm_timer();
@@ -76,12 +81,21 @@
         [this, request](const AgentConnection::Answer& answer) { handle_answer(request, answer); });
 }
 
+void Poller::cancel_request(std::uint64_t request) {
+    const auto found = in_flight_.find(request);
+    if (found == in_flight_.end()) return;
+    const Connection connection = std::move(found->second);
+    in_flight_.erase(found);
+    evaluate(request, connection->cancel());
+}
+
 void Poller::handle_answer(std::uint64_t request, const AgentConnection::Answer& answer) {
     in_flight_.erase(request);
+    // Its time may have passed already. Not even steps that the handler below causes may cancel it.
+    schedule_.enter_phase(request, PollSchedule::Phase::Processing, PollSchedule::Clock::now());
     const Verdict verdict = evaluate(request, answer);
     if (verdict == Verdict::Overloaded) return finish(request, PollSchedule::Result::Overloaded);
     if (verdict != Verdict::Pending) return finish_processing(request, verdict == Verdict::Accepted);
-    schedule_.enter_phase(request, PollSchedule::Phase::Processing, PollSchedule::Clock::now());
     run_schedule();
 }
 
@@ -94,6 +108,7 @@
 }
 
 void Poller::inspect_partial(std::uint64_t request) try {
+    if (!on_partial_answer_) return;
     on_partial_answer_(request, in_flight_.at(request)->partial_answer());
 } catch (const std::exception& fault) {
     log::error("discovery", "inspecting a partial answer failed", {{"why", fault.what()}});
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -58,6 +58,7 @@
     void run_schedule();
     void arm_timer();
     void start_request(std::uint64_t request);
+    void cancel_request(std::uint64_t request);
     void handle_answer(std::uint64_t request, const AgentConnection::Answer& answer);
     Verdict evaluate(std::uint64_t request, const AgentConnection::Answer& answer);
     void inspect_partial(std::uint64_t request);
@@ -75,6 +76,7 @@
     OnPartialAnswer on_partial_answer_;
     Timer timer_;
     std::map<std::uint64_t, Connection> in_flight_;
+    std::uint64_t agent_changes_ = 0;
     bool has_agent_ = false;
 };
 
