Out of service, every command that was read is answered, also behind one that is refused

Cause: Clients::handle() refused with turn_away(), a last answer, which drops what the parser holds and discards what follows.

What was read whole has its answer before the half-close, and the rest of a batch that is on its way is read within a bound.

--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -276,9 +276,9 @@
     if (iequals(command[0], "PING") && service_.service() != Service::In)
         return session->answer(resp::error("ERR out of service"), false);
     if (service_.service() == Service::Out) {
-        if (!iequals(command[0], "ENQUEUE")) return session->turn_away(resp::error("ERR out of service"));
+        if (!iequals(command[0], "ENQUEUE")) return session->answer(resp::error("ERR out of service"), false);
         ++counters_.refused;
-        return session->turn_away(busy(kOutWait));
+        return session->answer(busy(kOutWait), false);
     }
     if (iequals(command[0], "PING"))
         return session->answer(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"), false);
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -83,6 +83,8 @@
     void let_all_go();
     /// No connection rests any more: each is closed between requests.
     bool closing() const { return service_.closed() || service_.service() == Service::Out; }
+    /// Out of service: each request is answered -BUSY, and its connection ends when no more come.
+    bool refusing() const { return !service_.closed() && service_.service() == Service::Out; }
     /// Requests are still read from connections.
     bool reading() const { return reading_; }
     bool may_be_sending(const admission::Door::Farewell& farewell) const;
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::size_t kMostDiscarded = 256 * 1024;  // of what follows a last answer
+// Out of service, the rest of a batch may be on its way behind a refusal. The connection ends when nothing
+// has come for kLinger, and kMostLinger after its first refusal even if its client goes on.
+constexpr auto kLinger = std::chrono::milliseconds(100), kMostLinger = std::chrono::milliseconds(1000);
 
 /// How long the newest bytes have lain in the kernel, also while their connection was in the listener's
 /// queue.
@@ -128,6 +131,7 @@
         if (last_ || closed_) return;
     } else {
         count_buffered();
+        if (linger()) return await();
         if (owner_.closing() && !unread()) return end_sending();
     }
     await();
@@ -158,14 +162,35 @@
 }
 
 void ClientSession::written() {
-    const Instant now = Clock::now();
     asking_ = false;
-    owner_.door_.rests(ticket_, std::exchange(useful_, false), now);
-    arrived_ = now;  // what came along with the last command has waited for it, not for us
+    arrived_ = Clock::now();  // what came along with the last command has waited for it, not for us
+    if (!owner_.refusing()) {
+        linger_timer_.reset();
+        rest();
+    }
     next();
     // at the limit a place may be wanted back, this one's too; not that of one that asks again already
     if (!closed_) owner_.accept();
 }
+void ClientSession::rest() { owner_.door_.rests(ticket_, std::exchange(useful_, false), Clock::now()); }
+
+/// Whether a connection whose requests were refused is kept for a moment, for those that are on their way.
+/// Until then it does not rest, so that nobody else ends it.
+bool ClientSession::linger() {
+    if (!owner_.refusing()) return false;
+    const Instant now = Clock::now();
+    if (!linger_timer_) {
+        linger_timer_ = std::make_unique<Timer>(socket_.get_executor());
+        refused_since_ = now;
+    }
+    if (now - refused_since_ >= kMostLinger) return false;
+    linger_timer_->call_after(kLinger, [this] {
+        if (closed_ || last_ || asking_ || parser_.midway()) return;
+        rest();
+        if (owner_.closing() && !unread()) end_sending();
+    });
+    return true;
+}
 
 /// Closing over unread bytes would reset the connection, and the client might lose an answer that it has not
 /// read yet. So the half-close comes first, and the close once the client has ended its sending as well.
--- a/src/fronts/resp2/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -8,6 +8,7 @@
 
 #include "admission/door.hpp"
 #include "admission/read_turns.hpp"
+#include "base/timer.hpp"
 #include "config/config.hpp"
 #include "fronts/resp2/resp.hpp"
 
@@ -52,6 +53,8 @@
     void count_buffered();
     void write(std::string text);
     void written();
+    void rest();
+    bool linger();
     void start_leaving();
     void finish();
     void discard(std::size_t count);
@@ -66,6 +69,8 @@
     admission::ReadMeter meter_;
     admission::Owner buffered_by_ = 0;  // to whom the bytes held are counted
     std::size_t buffered_ = 0, discarded_ = 0;
+    std::unique_ptr<Timer> linger_timer_;  // made when the first request is refused out of service
+    admission::Instant refused_since_{};
     bool awaiting_ = false, in_turn_ = false, asking_ = false, last_ = false, closed_ = false,
          useful_ = false;
 };
--- a/tests/service_crossing_test.cpp
+++ b/tests/service_crossing_test.cpp
@@ -89,5 +89,80 @@
     EXPECT_EQ(ping(), "+PONG");
 }
 
+/// A client of a forwarder that is out of service.
+class RefusedBatch : public ServiceCrossing {
+protected:
+    void start_out_of_service() {
+        start();
+        ASSERT_TRUE(forwarder->execute_order({Order::Kind::OutOfService, ""}).yes());
+        run_for(kLeaving + 50ms);
+    }
+    std::string batch(int count) {
+        std::string commands;
+        for (int i = 0; i < count; ++i) commands += rig::command(message(new_id()));
+        return commands;
+    }
+    std::string new_id() {
+        char text[17];
+        std::snprintf(text, sizeof text, "%016x", ++last_id_);
+        return text;
+    }
+    /// How many lines with a refusal come before another one, or before the connection ends.
+    static int refusals(Client& client) {
+        int count = 0;
+        while (client.line().starts_with("-BUSY")) ++count;
+        return count;
+    }
+
+private:
+    unsigned last_id_ = 0;
+};
+
+// The commands behind the first one that was refused had been read, and got no answer.
+TEST_F(RefusedBatch, IsAnsweredWhole) {
+    start_out_of_service();
+    for (const int count : {2, 3, 100, 10'000}) {
+        const std::string commands = batch(count);
+        EXPECT_EQ(beside_the_loop([&] {
+            Client client(address);
+            client.send(commands);
+            return refusals(client);
+        }),
+            count);
+    }
+}
+
+// The rest of the batch is on its way while the first command is refused.
+TEST_F(RefusedBatch, IsAnsweredWholeThoughItComesInPieces) {
+    start_out_of_service();
+    const std::string commands = batch(3);
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{40}, commands.size() / 3, std::size_t{200}}) {
+        EXPECT_EQ(beside_the_loop([&] {
+            Client client(address);
+            for (std::size_t at = 0; at < commands.size(); at += piece) {
+                client.send(commands.substr(at, piece));
+                std::this_thread::sleep_for(1ms);
+            }
+            return refusals(client);
+        }),
+            3)
+            << "in pieces of " << piece;
+    }
+}
+
+// A client that goes on without a pause is let go all the same.
+TEST_F(RefusedBatch, DoesNotKeepItsConnectionForGood) {
+    start_out_of_service();
+    const auto began = Clock::now();
+    const int refused = beside_the_loop([&] {
+        Client client(address);
+        int count = 0;
+        while (client.ask(message(new_id())).starts_with("-BUSY")) ++count;
+        return count;
+    });
+    EXPECT_GT(refused, 1);
+    EXPECT_LT(Clock::now() - began, 4s);
+}
+
 }  // namespace
 }  // namespace lockgw
