A call that is given up without an answer is read on: a wait that crosses its end holds

A target told a wait while its call was given up, and was called within it.

Cause: TargetConnection::end() closed the connection at once, and what was on its way met a closed socket. Evidence: StrayAnswer.AWaitThatCrossesTheEndOfItsCallIsHeeded writes the 429 once the message's end is reported.

Fix: such a call is given up by ending this side's sending, which the protocol page allows, and the connection is read for 1 s, as behind doubtful answers. Its late answer is its own and no second one, so that connections are reused as before.

--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -198,10 +198,14 @@
         std::ostream& out, const ObservedMessage& message, const ObservedCall& call) const {
         for (const ObservedWait& wait : seen_.waits) {
             if (!ignores(message, call, wait)) continue;
-            const ObservedCall& told = seen_.messages.at(wait.message).calls[wait.call];
+            const ObservedMessage& earlier = seen_.messages.at(wait.message);
+            const ObservedCall& told = earlier.calls[wait.call];
             out << ", which ignores the wait from " << seconds(wait.written) << " to " << seconds(wait.until)
                 << ", told to " << wait.message << " on connection " << told.connection << ", called at "
-                << seconds(told.received);
+                << seconds(told.received) << ", its time over at "
+                << seconds(earlier.submitted + earlier.deadline);
+            for (const std::string& status : earlier.final_statuses)
+                out << " and reported " << status << " at " << seconds(*earlier.reported);
         }
     }
 
--- a/src/deliveries/http/target_connection.cpp
+++ b/src/deliveries/http/target_connection.cpp
@@ -186,7 +186,9 @@
         judge();
         report(*call, otherwise);
     }
-    owner_.gone(self);
+    unanswered_ = call && written_ && answer_.empty() &&
+                  (otherwise == Outcome::NoAnswer || otherwise == Outcome::CalledOff);
+    unanswered_ ? owner_.linger(self) : owner_.gone(self);
 }
 void TargetConnection::report(const Call& call, Outcome otherwise) {
     const CallEnd end = end_of_call(observed(), certainty_, call.effect, otherwise);
@@ -255,7 +257,8 @@
 /// answer; that is no copy. What comes together with an answer is not looked at: it closes the connection
 /// before it could cross a call, and garbled answers end so too.
 void TargetConnection::take_surplus(std::string_view bytes) {
-    if (only_copies(bytes)) owner_.stray_seen(*this);
+    const bool own = std::exchange(unanswered_, false);  // the late answer of the call that was given up
+    if (!own && only_copies(bytes)) owner_.stray_seen(*this);
     heed_waits(bytes);
     lingering_ ? watch() : owner_.gone(shared_from_this());
 }
--- a/src/deliveries/http/target_connection.hpp
+++ b/src/deliveries/http/target_connection.hpp
@@ -96,6 +96,7 @@
     Certainty certainty_ = Certainty::Certain;  // of the answer to the present call
     bool resting_ = false;                      // until the next call
     bool lingering_ = false;                    // there is none
+    bool unanswered_ = false;                   // the last call was given up, and its answer may still come
     Answer surplus_;                            // to which there is no call
 };
 
--- a/src/deliveries/http/targets.cpp
+++ b/src/deliveries/http/targets.cpp
@@ -111,13 +111,13 @@
 
 /// It carries no more calls. Closed at once, unless the own answer of one may still be on its way.
 void Targets::finished(const Connection& connection) {
-    if (!connection->history().rested(Clock::now())) {
-        idle_.remove(connection);
-        finishing_.remove(connection);
-        finishing_.add(connection);
-        return connection->linger(ConnectionHistory::kRestTime);
-    }
-    gone(connection);
+    connection->history().rested(Clock::now()) ? gone(connection) : linger(connection);
+}
+void Targets::linger(const Connection& connection) {
+    idle_.remove(connection);
+    finishing_.remove(connection);
+    finishing_.add(connection);
+    connection->linger(ConnectionHistory::kRestTime);
 }
 
 void Targets::stray_seen(const TargetConnection& connection) {
--- a/src/deliveries/http/targets.hpp
+++ b/src/deliveries/http/targets.hpp
@@ -43,6 +43,8 @@
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
     void finished(const Connection& connection);
+    /// An answer may still be on its way: it is read for a while.
+    void linger(const Connection& connection);
     void stray_seen(const TargetConnection& connection);
     void refusal_seen(EndpointId endpoint);
     void drop(const Connection& connection);
--- a/tests/stray_answer_test.cpp
+++ b/tests/stray_answer_test.cpp
@@ -213,6 +213,22 @@
     target.next().write(kOk);
 }
 
+// A call that hangs is given up, and its target's refusal crosses that: the wait that it tells holds. It is
+// no second answer, so connections are reused as before.
+TEST_F(StrayAnswer, AWaitThatCrossesTheEndOfItsCallIsHeeded) {
+    start();
+    const std::string hung = next_id();
+    ASSERT_EQ(enqueue(*client, hung, "unsafe", 500), "+OK");
+    const Exchange call = target.next();
+    ASSERT_EQ(reported_of(hung).at("result"), "dead");  // it is called no more
+    call.push(kWait);
+    std::this_thread::sleep_for(kBetween);
+    ASSERT_EQ(enqueue(*client, next_id(), "safe"), "+OK");
+    EXPECT_TRUE(target.no_request_within(kWaited));
+    target.next().write(kOk);
+    EXPECT_EQ(node.log().find("more answers than calls"), std::string::npos);
+}
+
 // ---- the discovery agent ----
 
 // A second copy of an acknowledgement that crosses the next report: what the agent has not read is reported
