--- a/rig/soak/faulty_target.cpp
+++ b/rig/soak/faulty_target.cpp
@@ -281,19 +281,20 @@
       random_(random),
       observations_(observations),
       ended_(std::move(ended)),
+      port_holder_(io),
       acceptor_(io) {
-    bind();
+    bind(port_holder_);
+    address_ = port_holder_.local_endpoint();
     listen();
 }
 
-/// To the address of before, if there was one. A bound socket that does not listen refuses connections.
-void FaultyTarget::bind() {
-    acceptor_.open(address_.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(address_);
-    address_ = acceptor_.local_endpoint();
+void FaultyTarget::bind(Tcp::acceptor& acceptor) const {
+    acceptor.open(address_.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(address_);
 }
 void FaultyTarget::listen() {
+    bind(acceptor_);
     acceptor_.listen();
     down_ = false;
     accept();
@@ -302,7 +303,6 @@
 void FaultyTarget::crash_for(Milliseconds span) {
     if (std::exchange(down_, true)) return;
     acceptor_.close();
-    bind();
     for (const auto& weak : std::exchange(connections_, {}))
         if (const auto connection = weak.lock()) connection->reset();
     auto timer = std::make_shared<asio::steady_timer>(io_, span);
--- a/rig/soak/faulty_target.hpp
+++ b/rig/soak/faulty_target.hpp
@@ -53,7 +53,7 @@
 
 private:
     class Connection;
-    void bind();
+    void bind(Tcp::acceptor& acceptor) const;
     void listen();
     void accept();
 
@@ -65,6 +65,7 @@
     Ended ended_;
     Clock::time_point shut_until_{}, hangs_until_{};
     Tcp::endpoint address_{asio::ip::address_v4::loopback(), 0};
+    Tcp::acceptor port_holder_;  ///< never listens: while the target is down nobody else can take its port
     Tcp::acceptor acceptor_;
     bool down_ = true;
     std::vector<std::weak_ptr<Connection>> connections_;
