--- a/tests/refusal_test.cpp
+++ b/tests/refusal_test.cpp
@@ -1,17 +1,11 @@
 // A refusal promises that handing the message in again does no harm. A keyed message that may have run must
 // not be refused: its repeat is a new message to whichever sender takes it, may be held there until the
 // window of the key has closed, and then takes effect a second time.
-#include <ostream>
+#include <string>
 
 #include "helpers.hpp"
 
 namespace cometspoke::testing {
-
-// found by argument-dependent lookup, for the parameters of a failed test
-inline std::ostream& operator<<(std::ostream& out, Outcome outcome) {
-    return out << "outcome " << static_cast<int>(outcome);
-}
-
 namespace {
 
 constexpr MessageId kMessage = 1;
@@ -27,6 +21,16 @@
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
 
+std::string name_of(const std::tuple<Effect, DedupScope, Outcome>& parameters) {
+    static const char* const effects[] = {"retryable", "dedup", "fragile"};
+    static const char* const scopes[] = {"all", "zone", "endpoint"};
+    static const char* const outcomes[] = {"served", "server_error", "turned_away", "no_answer",
+        "no_connection", "connection_lost", "called_off", "not_sent", "unreadable"};
+    const auto [effect, scope, outcome] = parameters;
+    return std::string(effects[static_cast<int>(effect)]) + "_" + scopes[static_cast<int>(scope)] + "_" +
+           outcomes[static_cast<int>(outcome)];
+}
+
 /// One message, whose first attempt ends with an outcome, and whose destination then has no endpoint.
 class RefusalTest : public ::testing::TestWithParam<std::tuple<Effect, DedupScope, Outcome>> {
 protected:
@@ -116,7 +120,8 @@
     ::testing::Combine(::testing::Values(Effect::Retryable, Effect::Dedup, Effect::Fragile),
         ::testing::Values(DedupScope::All, DedupScope::Zone, DedupScope::Endpoint),
         ::testing::Values(Outcome::ServerError, Outcome::TurnedAway, Outcome::NoAnswer, Outcome::NoConnection,
-            Outcome::ConnectionLost, Outcome::CalledOff, Outcome::Unreadable)));
+            Outcome::ConnectionLost, Outcome::CalledOff, Outcome::Unreadable)),
+    [](const auto& info) { return name_of(info.param); });
 
 }  // namespace
 }  // namespace cometspoke::testing
