Tests: the round of a proposal is checked by itself, so that its mutant is always found

No fault of the program.

Change: Register.AProposalIsInALaterRoundThanAllThatItsProposerKnowsOf, with no chance in it, beside the histories, which stay as they are. Measured: three of its checks fail on the mutant, all pass on the program.

--- a/tests/work_crew_test.cpp
+++ b/tests/work_crew_test.cpp
@@ -115,6 +115,19 @@
         for (std::size_t cut = 0; cut < 10; ++cut) EXPECT_FALSE(message_of(bytes.substr(0, cut)));
     }
 }
+// Two values of one ballot could be chosen otherwise.
+TEST(Register, AProposalIsInALaterRoundThanAllThatItsProposerKnowsOf) {
+    Proposer proposer(0, 3);
+    const Ballot first = proposer.begin(0).ballot, second = proposer.begin(0).ballot;
+    EXPECT_GT(second, first);
+    Message refused;
+    refused.kind = Message::Kind::Refused, refused.ballot = second, refused.of = {9, 2};
+    EXPECT_EQ(proposer.heard(2, refused), Proposer::Came::Refused);
+    EXPECT_GT(proposer.begin(0).ballot.round, 9u);
+    proposer.saw(20);
+    EXPECT_GT(proposer.begin(0).ballot.round, 20u);
+    EXPECT_GT(proposer.begin(30).ballot.round, 30u);
+}
 // A voter that lost its record must not vote before it has recovered what it may have promised.
 TEST(Register, AVoterWithoutARecordRecoversBeforeItVotes) {
     Voter voter;
