An end that comes between the commands of a batch drops no command that was read

Cause: a connection that was to end was half-closed behind any answer at which nothing lay unread, and turn_away(), a last answer, dropped what the parser held and read what followed only to discard it.

Fix: a connection that is to end is read for 0.1 s behind its last answer, as out of service already, 1 s in all. Where nothing is taken on any more each command that comes is refused, for 0.4 s at the most and without holding its arguments, and the process ends or hands over once none is left to refuse or its time is up. The connections of a front that goes are closed with it.

--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -81,7 +81,11 @@
       hand_on_(io),
       memory_(client_memory_limit(config.memory_bytes, config.door)),
       read_turns_(read_limits(config.door)) {}
-Clients::~Clients() = default;
+/// The loop may live on and hold handlers of the connections: they are closed here.
+Clients::~Clients() {
+    service_.close();
+    while (!sessions_.empty()) Session(sessions_.begin()->second)->close();
+}
 
 // ---- connections ----
 
@@ -428,17 +432,25 @@
     let_all_go();
 }
 
-/// Of what has been read every request gets its answer; half a command is told to come again.
+/// Of what has been read every request gets its answer; half a command is told to come again, and so is what
+/// is read from now on.
 void Clients::stop_reading() {
     drain();
     reading_ = false;
-    while (const auto half = door_.first(Class::Partly))
-        Session(sessions_.at(*half))->turn_away(busy(kOutWait));
-    while (const auto resting = door_.hand_on()) Session(sessions_.at(resting->ticket))->end_sending();
+    while (const auto half = door_.first(Class::Partly)) Session(sessions_.at(*half))->turn_away(refusal());
+    while (const auto resting = door_.hand_on()) {
+        const Session session = sessions_.at(resting->ticket);
+        session->unread() ? session->refuse_further() : session->end_sending();
+    }
+}
+
+std::string Clients::refusal() {
+    ++counters_.refused;
+    return busy(kOutWait);
 }
 
 bool Clients::has_pending_replies() const {
-    return door_.count(Class::Asked) > 0 || door_.count(Class::Writing) > 0;
+    return door_.count(Class::Asked) > 0 || door_.count(Class::Writing) > 0 || refusing_sessions_ > 0;
 }
 
 }  // namespace lockgw
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -50,7 +50,9 @@
     void stop_reading() override;
     bool has_pending_replies() const override;
     void set_in_service(bool in_service) override;
-    bool empty() const override { return door_.count() == door_.count(admission::Class::Leaving); }
+    bool empty() const override {
+        return door_.count() == door_.count(admission::Class::Leaving) && refusing_sessions_ == 0;
+    }
     Json status() const override;
     const DoorCounters& counters() const { return counters_; }
 
@@ -83,10 +85,10 @@
     void let_all_go();
     /// No connection rests any more: each is closed between requests.
     bool closing() const { return service_.closed() || service_.service() == Service::Out; }
-    /// Out of service: each request is answered -BUSY, and its connection ends when no more come.
-    bool refusing() const { return !service_.closed() && service_.service() == Service::Out; }
-    /// Requests are still read from connections.
+    /// Requests that are read now are taken on; otherwise they are refused.
     bool reading() const { return reading_; }
+    /// The answer to a request that comes too late for this process.
+    std::string refusal();
     bool may_be_sending(const admission::Door::Farewell& farewell) const;
     void tell();
 
@@ -111,7 +113,8 @@
     bool accepting_ = false, pausing_ = false, making_room_ = false, working_ = false;
     bool reading_in_turn_ = false, reading_ = true;
     std::unordered_map<admission::Ticket, Session> sessions_;
-    admission::MemoryShares memory_;  // of commands that have not ended, and of requests that wait
+    std::size_t refusing_sessions_ = 0;  // that still answer, but only with refusals
+    admission::MemoryShares memory_;     // of commands that have not ended, and of requests that wait
     admission::ReadTurns<Session> read_turns_;
     DoorCounters counters_, told_;
     std::chrono::steady_clock::time_point told_at_{};
--- a/src/fronts/resp2/resp.cpp
+++ b/src/fronts/resp2/resp.cpp
@@ -46,7 +46,9 @@
 
 bool Parser::argument() {
     if (!length_) length_ = header('$', std::min(kMostBytes, kMostCommand - command_bytes_));
-    if (!length_ || buffer_.size() - at_ < *length_ + 2) return false;
+    if (!length_) return false;
+    if (skipping_) skip_some();
+    if (buffer_.size() - at_ < *length_ + 2) return false;
     if (buffer_.compare(at_ + *length_, 2, "\r\n") != 0) throw Unreadable("an argument without an end");
     command_.push_back(buffer_.substr(at_, *length_));
     at_ += *length_ + 2;
@@ -55,6 +57,20 @@
     return true;
 }
 
+/// What has come of the present argument's bytes, but for its end.
+void Parser::skip_some() {
+    const std::size_t count = std::min(*length_, buffer_.size() - at_);
+    at_ += count;
+    command_bytes_ += count;
+    *length_ -= count;
+}
+void Parser::skip_arguments() {
+    skipping_ = true;
+    command_.clear();
+    if (length_) skip_some();
+    drop_read();
+}
+
 void Parser::drop_read() {
     buffer_.erase(0, std::exchange(at_, 0));
     if (buffer_.empty()) std::string().swap(buffer_);  // most connections rest between commands
--- a/src/fronts/resp2/resp.hpp
+++ b/src/fronts/resp2/resp.hpp
@@ -30,12 +30,16 @@
     std::optional<Command> next();
     /// Whether a command has begun and not ended.
     bool midway() const { return missing_ > 0 || at_ < buffer_.size(); }
+    /// From now on commands are only counted off: their arguments are empty, and of one that has begun
+    /// nothing is held.
+    void skip_arguments();
     /// Bytes that wait for the rest of their command.
-    std::size_t held() const { return buffer_.size() + command_bytes_; }
+    std::size_t held() const { return buffer_.size() + (skipping_ ? 0 : command_bytes_); }
 
 private:
     std::optional<std::size_t> header(char mark, std::size_t most);
     bool argument();
+    void skip_some();
     void drop_read();
 
     std::string buffer_;
@@ -44,6 +48,7 @@
     std::optional<std::size_t> length_;  // of the argument that has begun
     Command command_;
     std::size_t command_bytes_ = 0;  // of its arguments so far
+    bool skipping_ = false;
 };
 
 std::string simple(std::string_view text);
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -17,9 +17,11 @@
 namespace {
 
 constexpr std::size_t kMostDiscarded = 256 * 1024;  // of what follows a last answer
-// Out of service, the rest of a batch may be on its way behind a refusal. The connection ends when nothing
-// has come for kLinger, and kMostLinger after its first refusal even if its client goes on.
-constexpr auto kLinger = std::chrono::milliseconds(100), kMostLinger = std::chrono::milliseconds(1000);
+// Where a connection is to end, the rest of a batch may be on its way behind an answer. The connection ends
+// when nothing has come for kLinger. If its client goes on, all that comes kMostLinger after the first such
+// answer is refused, and kMostRefusing later the connection ends.
+constexpr auto kLinger = std::chrono::milliseconds(100), kMostLinger = std::chrono::milliseconds(1000),
+               kMostRefusing = std::chrono::milliseconds(400);  // then its client may read the last answers
 
 /// How long the newest bytes have lain in the kernel, also while their connection was in the listener's
 /// queue.
@@ -56,27 +58,46 @@
 void ClientSession::close(bool for_room) {
     if (closed_) return;
     closed_ = true;
+    if (phase_ == Phase::Refusing) --owner_.refusing_sessions_;
+    linger_timer_.reset();
     boost::system::error_code ignored;
     socket_.close(ignored);
     owner_.memory_.change(buffered_by_, std::exchange(buffered_, 0), 0);
     owner_.closed(*this, for_room);
 }
 
-void ClientSession::start_leaving() {
-    last_ = true;
-    parser_ = resp::Parser();
+void ClientSession::leave(Phase phase) {
+    if (phase_ == Phase::Open) owner_.door_.leaves(ticket_, Clock::now());
+    if (phase_ == Phase::Refusing) --owner_.refusing_sessions_;
+    if (phase == Phase::Refusing) ++owner_.refusing_sessions_;
+    phase_ = phase;
+    linger_timer_.reset();
+    if (phase == Phase::Refusing)
+        parser_.skip_arguments();
+    else
+        parser_ = resp::Parser();
     count_buffered();
-    owner_.door_.leaves(ticket_, Clock::now());
 }
 void ClientSession::turn_away(std::string answer) {
-    start_leaving();
+    if (closed_ || phase_ != Phase::Open) return;
+    leave(Phase::Refusing);
+    answered_early_ = !asking_ && parser_.midway();
     write(std::move(answer));
 }
+void ClientSession::refuse_further() {
+    if (closed_ || phase_ != Phase::Open) return;
+    leave(Phase::Refusing);
+    refuse_next();
+}
 void ClientSession::end_sending() {
-    if (closed_ || last_) return;
-    start_leaving();
+    if (closed_ || phase_ != Phase::Open) return;
+    leave(Phase::Ended);
     finish();
 }
+void ClientSession::end_behind(std::string answer) {
+    leave(Phase::Ended);
+    write(std::move(answer));
+}
 
 /// No buffer of its own: many connections are silent.
 void ClientSession::await() {
@@ -85,7 +106,8 @@
         awaiting_ = false;
         if (closed_) return;
         if (failed) return close();
-        const bool at_once = !last_ && !meter_.heavy(owner_.read_turns_.limits(), Clock::now());
+        const bool at_once =
+            phase_ == Phase::Open && !meter_.heavy(owner_.read_turns_.limits(), Clock::now());
         if (at_once) return take();  // who has its last answer has time
         if (!std::exchange(in_turn_, true)) owner_.read_in_turn(self);
     });
@@ -106,10 +128,10 @@
     if (failed) return close();
     const Instant now = Clock::now();
     meter_.count(count, owner_.read_turns_.limits(), now);
-    if (last_) return discard(count);
+    if (phase_ == Phase::Ended) return discard(count);
     arrived_ = now - waited_in_kernel(socket_.native_handle());
     parser_.feed({owner_.in_.data(), count});
-    next();
+    phase_ == Phase::Open ? next() : refuse_next();
 } catch (const std::exception& fault) {
     log::error("resp2", "a connection failed", {{"why", fault.what()}});
     close();
@@ -123,20 +145,31 @@
         asking_ = true;
         return owner_.handle(shared_from_this(), *command);
     }
-    if (!owner_.reading()) return end_sending();
+    if (!owner_.reading()) return parser_.midway() ? turn_away(owner_.refusal()) : refuse_further();
     if (parser_.midway()) {
         owner_.door_.began(ticket_, Clock::now());
         count_buffered();
         owner_.bound_memory();
-        if (last_ || closed_) return;
+        if (phase_ != Phase::Open || closed_) return;
     } else {
         count_buffered();
-        if (linger()) return await();
-        if (owner_.closing() && !unread()) return end_sending();
+        if (owner_.closing() && !linger()) return refuse_further();
     }
     await();
 } catch (const resp::Unreadable& bad) {
-    turn_away(resp::error(std::string("ERR ") + bad.what()));
+    end_behind(resp::error(std::string("ERR ") + bad.what()));
+}
+
+/// Answers the next command that has come, or waits for it.
+void ClientSession::refuse_next() try {
+    while (parser_.next())
+        if (!std::exchange(answered_early_, false)) return write(owner_.refusal());
+    count_buffered();
+    if (linger()) return await();
+    leave(Phase::Ended);
+    finish();
+} catch (const resp::Unreadable& bad) {
+    end_behind(resp::error(std::string("ERR ") + bad.what()));
 }
 
 void ClientSession::count_buffered() {
@@ -154,17 +187,26 @@
 
 void ClientSession::write(std::string text) {
     out_ = std::move(text);
+    asking_ = true;
+    if (linger_timer_) linger_timer_->cancel();
     asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](auto failed, std::size_t) {
         if (self->closed_) return;
         if (failed) return self->close();
-        self->last_ ? self->finish() : self->written();
+        self->asking_ = false;
+        switch (self->phase_) {
+            case Phase::Open:
+                return self->written();
+            case Phase::Refusing:
+                return self->refuse_next();
+            case Phase::Ended:
+                return self->finish();
+        }
     });
 }
 
 void ClientSession::written() {
-    asking_ = false;
     arrived_ = Clock::now();  // what came along with the last command has waited for it, not for us
-    if (!owner_.refusing()) {
+    if (!owner_.closing()) {
         linger_timer_.reset();
         rest();
     }
@@ -174,23 +216,29 @@
 }
 void ClientSession::rest() { owner_.door_.rests(ticket_, std::exchange(useful_, false), Clock::now()); }
 
-/// Whether a connection whose requests were refused is kept for a moment, for those that are on their way.
-/// Until then it does not rest, so that nobody else ends it.
+/// Whether a connection that is to end is kept for a moment, for requests that are on their way. Until then
+/// it does not rest, so that nobody else ends it.
 bool ClientSession::linger() {
-    if (!owner_.refusing()) return false;
     const Instant now = Clock::now();
     if (!linger_timer_) {
         linger_timer_ = std::make_unique<Timer>(socket_.get_executor());
-        refused_since_ = now;
+        lingers_since_ = now;
     }
-    if (now - refused_since_ >= kMostLinger) return false;
-    linger_timer_->call_after(kLinger, [this] {
-        if (closed_ || last_ || asking_ || parser_.midway()) return;
-        rest();
-        if (owner_.closing() && !unread()) end_sending();
-    });
+    if (now - lingers_since_ >= (phase_ == Phase::Open ? kMostLinger : kMostRefusing)) return false;
+    linger_timer_->call_after(kLinger, [this] { end_after_linger(); });
     return true;
 }
+void ClientSession::end_after_linger() {
+    if (closed_ || phase_ == Phase::Ended || unread()) return;
+    if (phase_ == Phase::Refusing) {
+        leave(Phase::Ended);
+        return finish();
+    }
+    if (asking_ || parser_.midway()) return;
+    rest();
+    if (owner_.closing()) return end_sending();
+    linger_timer_.reset();  // back in service meanwhile
+}
 
 /// Closing over unread bytes would reset the connection, and the client might lose an answer that it has not
 /// read yet. So the half-close comes first, and the close once the client has ended its sending as well.
--- a/src/fronts/resp2/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -32,8 +32,11 @@
     /// The same in its turn, and gives the bytes read.
     std::size_t read_in_turn();
     void close(bool for_room = false);
-    /// A last answer, and a close once it is written.
+    /// Its connection is to end, and all that is read from now on is refused. `answer` is that of the command
+    /// that was handed on, or of the one that has begun.
     void turn_away(std::string answer);
+    /// The same where there is no such command.
+    void refuse_further();
     /// Between requests, without an answer: ends this side's sending at once (a half-close). What the client
     /// sends from then on is read and dropped until it has closed, too; nothing of it is taken on.
     void end_sending();
@@ -47,15 +50,24 @@
     admission::Instant arrived() const { return arrived_; }
 
 private:
+    enum class Phase {
+        Open,      ///< commands are handed to the owner
+        Refusing,  ///< each that still comes is refused, until none has come for a while
+        Ended,     ///< this side's sending has ended, or does behind the answer that is being written
+    };
+
     void await();
     void take();
     void next();
+    void refuse_next();
     void count_buffered();
     void write(std::string text);
     void written();
     void rest();
     bool linger();
-    void start_leaving();
+    void end_after_linger();
+    void leave(Phase phase);
+    void end_behind(std::string answer);
     void finish();
     void discard(std::size_t count);
 
@@ -69,10 +81,11 @@
     admission::ReadMeter meter_;
     admission::Owner buffered_by_ = 0;  // to whom the bytes held are counted
     std::size_t buffered_ = 0, discarded_ = 0;
-    std::unique_ptr<Timer> linger_timer_;  // made when the first request is refused out of service
-    admission::Instant refused_since_{};
-    bool awaiting_ = false, in_turn_ = false, asking_ = false, last_ = false, closed_ = false,
-         useful_ = false;
+    std::unique_ptr<Timer> linger_timer_;  // made when the connection is to end
+    admission::Instant lingers_since_{};
+    Phase phase_ = Phase::Open;
+    bool answered_early_ = false;  // the command that has begun
+    bool awaiting_ = false, in_turn_ = false, asking_ = false, closed_ = false, useful_ = false;
 };
 
 }  // namespace lockgw
