A client that has ended its sending is refused, not closed on, where its requests waited

Cause: Clients::turned_away() took an ended sending for a client that has gone. Fix: the request is refused and so is what follows; nothing of it is taken on, as before.

--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -297,7 +297,7 @@
     if (verdict == Overload::Verdict::Serve) return false;
     if (verdict == Overload::Verdict::Gone && session->hung_up()) {
         ++counters_.gone;
-        session->close();
+        session->turn_away(busy(overload_.told_wait(now)));  // it may still read
         return true;
     }
     if (verdict == Overload::Verdict::Gone && !overload_.overloaded()) return false;  // a patient one
--- a/tests/batch_end_test.cpp
+++ b/tests/batch_end_test.cpp
@@ -168,6 +168,18 @@
     EXPECT_TRUE(beside_the_loop([&] { return client.ended(); }));
 }
 
+// A client that has ended its sending still reads. Its requests waited too long, and got a bare close.
+TEST_F(BatchEnd, IsAnsweredToAClientThatHasEndedItsSending) {
+    start();
+    Client client(address);
+    ASSERT_EQ(ask(client, {"PING"}), "+PONG");
+    client.send(batch(3));
+    client.finish_sending();
+    std::this_thread::sleep_for(600ms);  // longer than a client waits
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(beside_the_loop([&] { return client.line(); }).substr(0, 5), "-BUSY") << "command " << i;
+}
+
 // What cannot be read ends the connection, behind the answers to all that came before it.
 TEST_F(BatchEnd, IsAnsweredToTheFirstCommandThatIsNoneAndNoReset) {
     start();
