A connection that is let go between two commands of a batch is read until it is quiet

Cause: the connection rests between two commands, and whoever rests was half-closed at once. Also, of: a connection that lingered past the last moment of reading had its commands taken on still; a busy client was kept for a second.

Fix: whose latest answer is younger than the linger ends once nothing has come for that long. It is 0.05 s where the process ends or hands over, so that busy clients leave soon: a first try with 0.02 s cut batches whose pieces waited 40 ms for a delayed acknowledgement. What comes past the last moment of reading is refused.

--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -167,7 +167,7 @@
     if (farewell.from == Class::Partly)
         return session->turn_away(farewell.for_room ? busy(overload_.told_wait(Clock::now()))
                                                     : resp::error("ERR a command without an end"));
-    may_be_sending(farewell) ? session->end_sending() : session->close(farewell.for_room);
+    may_be_sending(farewell) ? session->end_when_quiet() : session->close(farewell.for_room);
 }
 
 /// Whether a request of it may be on its way right now, so that a close would cross it. Who has asked before
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -85,6 +85,8 @@
     void let_all_go();
     /// No connection rests any more: each is closed between requests.
     bool closing() const { return service_.closed() || service_.service() == Service::Out; }
+    /// The process ends, or hands over.
+    bool ending() const { return service_.ending() || service_.closed(); }
     /// Requests that are read now are taken on; otherwise they are refused.
     bool reading() const { return reading_; }
     /// The answer to a request that comes too late for this process.
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -18,10 +18,13 @@
 
 constexpr std::size_t kMostDiscarded = 256 * 1024;  // of what follows a last answer
 // Where a connection is to end, the rest of a batch may be on its way behind an answer. The connection ends
-// when nothing has come for kLinger. If its client goes on, all that comes kMostLinger after the first such
-// answer is refused, and kMostRefusing later the connection ends.
-constexpr auto kLinger = std::chrono::milliseconds(100), kMostLinger = std::chrono::milliseconds(1000),
-               kMostRefusing = std::chrono::milliseconds(400);  // then its client may read the last answers
+// when nothing has come for kLinger. Where the process ends or hands over a busy client must leave it soon:
+// kLingerAtEnd is only longer than the 40 ms for which a small piece may wait for the delayed acknowledgement
+// of the one before. If its client goes on, the connection ends kMostLinger after the first such answer, at
+// once between two commands; what comes in one stream is refused, for kMostRefusing, which leaves time to
+// read the last answers.
+constexpr auto kLinger = std::chrono::milliseconds(100), kLingerAtEnd = std::chrono::milliseconds(50);
+constexpr auto kMostLinger = std::chrono::milliseconds(1000), kMostRefusing = std::chrono::milliseconds(400);
 
 /// How long the newest bytes have lain in the kernel, also while their connection was in the listener's
 /// queue.
@@ -94,6 +97,14 @@
     leave(Phase::Ended);
     finish();
 }
+void ClientSession::end_when_quiet() {
+    if (closed_ || phase_ != Phase::Open) return;
+    const Instant now = Clock::now();
+    if (now - arrived_ >= linger_span()) return end_sending();
+    let_go_ = true;
+    owner_.door_.answering(ticket_, now);  // it does not rest, so that nobody else ends it
+    linger();
+}
 void ClientSession::end_behind(std::string answer) {
     leave(Phase::Ended);
     write(std::move(answer));
@@ -129,6 +140,7 @@
     const Instant now = Clock::now();
     meter_.count(count, owner_.read_turns_.limits(), now);
     if (phase_ == Phase::Ended) return discard(count);
+    if (phase_ == Phase::Open && !owner_.reading()) leave(Phase::Refusing);
     arrived_ = now - waited_in_kernel(socket_.native_handle());
     parser_.feed({owner_.in_.data(), count});
     phase_ == Phase::Open ? next() : refuse_next();
@@ -153,7 +165,7 @@
         if (phase_ != Phase::Open || closed_) return;
     } else {
         count_buffered();
-        if (owner_.closing() && !linger()) return refuse_further();
+        if (is_to_end() && !linger()) return unread() ? refuse_further() : end_sending();
     }
     await();
 } catch (const resp::Unreadable& bad) {
@@ -206,7 +218,7 @@
 
 void ClientSession::written() {
     arrived_ = Clock::now();  // what came along with the last command has waited for it, not for us
-    if (!owner_.closing()) {
+    if (!is_to_end()) {
         linger_timer_.reset();
         rest();
     }
@@ -216,6 +228,9 @@
 }
 void ClientSession::rest() { owner_.door_.rests(ticket_, std::exchange(useful_, false), Clock::now()); }
 
+bool ClientSession::is_to_end() const { return let_go_ || owner_.closing(); }
+admission::Span ClientSession::linger_span() const { return owner_.ending() ? kLingerAtEnd : kLinger; }
+
 /// Whether a connection that is to end is kept for a moment, for requests that are on their way. Until then
 /// it does not rest, so that nobody else ends it.
 bool ClientSession::linger() {
@@ -225,7 +240,7 @@
         lingers_since_ = now;
     }
     if (now - lingers_since_ >= (phase_ == Phase::Open ? kMostLinger : kMostRefusing)) return false;
-    linger_timer_->call_after(kLinger, [this] { end_after_linger(); });
+    linger_timer_->call_after(linger_span(), [this] { end_after_linger(); });
     return true;
 }
 void ClientSession::end_after_linger() {
@@ -236,7 +251,7 @@
     }
     if (asking_ || parser_.midway()) return;
     rest();
-    if (owner_.closing()) return end_sending();
+    if (is_to_end()) return end_sending();
     linger_timer_.reset();  // back in service meanwhile
 }
 
--- a/src/fronts/resp2/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -40,6 +40,8 @@
     /// Between requests, without an answer: ends this side's sending at once (a half-close). What the client
     /// sends from then on is read and dropped until it has closed, too; nothing of it is taken on.
     void end_sending();
+    /// The same once nothing has come for a while, where its latest answer was written only just.
+    void end_when_quiet();
     /// The answer to the command that was handed on; `useful`: it was a message in good form.
     void answer(std::string text, bool useful);
 
@@ -65,6 +67,8 @@
     void written();
     void rest();
     bool linger();
+    bool is_to_end() const;
+    admission::Span linger_span() const;
     void end_after_linger();
     void leave(Phase phase);
     void end_behind(std::string answer);
@@ -84,6 +88,7 @@
     std::unique_ptr<Timer> linger_timer_;  // made when the connection is to end
     admission::Instant lingers_since_{};
     Phase phase_ = Phase::Open;
+    bool let_go_ = false;          // it ends once nothing has come for a while
     bool answered_early_ = false;  // the command that has begun
     bool awaiting_ = false, in_turn_ = false, asking_ = false, closed_ = false, useful_ = false;
 };
--- a/tests/plain_client.hpp
+++ b/tests/plain_client.hpp
@@ -13,6 +13,8 @@
 public:
     explicit PlainClient(const Tcp::endpoint& address) : socket_(io_) { socket_.connect(address); }
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+    /// Each piece goes out at once, also before the one before is acknowledged.
+    void send_without_delay() { socket_.set_option(Tcp::no_delay(true)); }
     void finish_sending() { socket_.shutdown(Tcp::socket::shutdown_send); }
     /// All that comes until the end.
     std::string rest() {
