--- a/rig/soak/client_load.cpp
+++ b/rig/soak/client_load.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr Milliseconds kReconnect{50}, kLongestPatience{30}, kEarlyWithdrawal{400};
+constexpr Milliseconds kLongestGap{20}, kGapExcused{40};  // between the two pieces of a batch
+constexpr std::size_t kLargestBatch = 20;
 constexpr std::uint64_t kIdsOfOneClient = 1u << 24;
 constexpr std::size_t kMostRecent = 400;
 constexpr int kMostTries = 3;  // the first and two after refusals
@@ -34,6 +36,11 @@
     Tcp::socket socket;
     asio::streambuf in;
     std::deque<Request> unanswered;  // in the order in which they were handed in
+    std::string held_back;           // bytes that wait for the second piece of a batch
+    bool corked = false;             // that piece is still to come
+    Clock::time_point corked_at;
+    std::uint64_t batch = 0;           // that is being submitted
+    std::uint64_t answered_batch = 0;  // of the latest answer
     bool connected = false, answered = false;
 };
 
@@ -70,7 +77,7 @@
         std::chrono::duration<double>(std::exponential_distribution<>(plan_.per_second)(random_))));
     timer_.async_wait([this](auto cancelled) {
         if (cancelled || stopped_) return;
-        if (session_->connected) submit();
+        if (session_->connected && !session_->corked) chance(plan_.batches) ? submit_batch() : submit();
         tick();
     });
 }
@@ -85,6 +92,28 @@
     hand_in({"", Clock::now(), 0}, message_class, destination, deadline);
 }
 
+/// Written in two pieces: an end of the connection may come between them.
+void ClientLoad::submit_batch() {
+    const auto session = session_;
+    session->corked = true;
+    session->corked_at = Clock::now();
+    session->batch = ++batches_;
+    for (std::size_t left = 2 + random_() % (kLargestBatch - 1); left > 0; --left) submit();
+    session->batch = 0;
+    write_out(*session, random_() % session->held_back.size());
+    later(up_to(kLongestGap), [this, session] {
+        session->corked = false;
+        if (Clock::now() - session->corked_at > kGapExcused)
+            for (Request& request : session->unanswered) request.batch = 0;
+        write_out(*session, session->held_back.size());
+    });
+}
+void ClientLoad::write_out(Session& session, std::size_t count) {
+    boost::system::error_code ignored;
+    asio::write(session.socket, asio::buffer(session.held_back, count), ignored);
+    session.held_back.erase(0, count);
+}
+
 /// As a new message.
 void ClientLoad::hand_in(
     Order order, const std::string& message_class, std::int64_t destination, Milliseconds deadline) {
@@ -138,8 +167,9 @@
 }
 
 void ClientLoad::send(Request request) {
-    boost::system::error_code ignored;
-    asio::write(session_->socket, asio::buffer(request.bytes), ignored);
+    request.batch = session_->batch;
+    session_->held_back += request.bytes;
+    if (!session_->corked) write_out(*session_, session_->held_back.size());
     session_->unanswered.push_back(std::move(request));
 }
 
@@ -170,6 +200,8 @@
     session_ = session;
     session->socket.async_connect(plan_.address, [this, session](auto failed) {
         if (failed) return later(kReconnect, [this] { connect(); });
+        boost::system::error_code ignored;
+        session->socket.set_option(Tcp::no_delay(true), ignored);
         session->connected = true;
         for (Request& request : std::exchange(to_repeat_, {})) {
             observations_.messages[request.id].submitted =
@@ -189,6 +221,7 @@
         std::getline(stream, line);
         if (!session->unanswered.empty()) {
             const std::string id = session->unanswered.front().id;
+            session->answered_batch = session->unanswered.front().batch;
             session->unanswered.pop_front();
             if (line.starts_with("+OK")) observations_.messages[id].accepted = Clock::now();
             if (line.starts_with("-BUSY")) {
@@ -201,14 +234,17 @@
 }
 
 /// A request that its connection's end has crossed is sent once more. Where the forwarder was killed, or
-/// where a crowd may have had a new connection shut unread, nothing is known of it.
+/// where a crowd may have had a new connection shut unread, nothing is known of it. Of a batch that was
+/// answered in part the rest had come, or did within a moment.
 void ClientLoad::lost(const std::shared_ptr<Session>& session) {
     session->connected = false;
     for (Request& request : session->unanswered) {
         const bool excused = killed_since_(request.sent) || (observations_.crowd && !session->answered);
+        const bool late = session->corked && Clock::now() - session->corked_at > kGapExcused;
+        const bool cut = request.batch != 0 && request.batch == session->answered_batch && !late;
         if (excused) {
             observations_.messages[request.id].given_up = true;
-        } else if (request.repeated) {
+        } else if (request.repeated || cut) {
             observations_.messages[request.id].closed_unanswered = true;
         } else {
             request.repeated = true;
--- a/rig/soak/client_load.hpp
+++ b/rig/soak/client_load.hpp
@@ -29,6 +29,7 @@
     std::map<std::string, Effect> effects;                         ///< by class
     double impatient = 0;  ///< share of requests that are given up within 30 ms
     double withdrawn = 0;  ///< share of messages that are withdrawn, at any time until their deadline
+    double batches = 0;    ///< share of requests with which up to 20 others are written, in two pieces
     double bursts = 0;     ///< withdrawals of all messages of one destination, a second
     /// Refused messages are handed in again at once, with a new id and the same key; one with a key only
     /// while the window since it was first handed in has not passed, before which no call can have been made.
@@ -53,6 +54,7 @@
         std::string id, bytes;
         Clock::time_point sent;
         bool repeated = false;
+        std::uint64_t batch = 0;  ///< 0: by itself, or its pieces were not written close to one another
     };
     struct Session;
     bool chance(double share);
@@ -66,6 +68,8 @@
     };
     void tick();
     void submit();
+    void submit_batch();
+    void write_out(Session& session, std::size_t count);
     void hand_in(
         Order order, const std::string& message_class, std::int64_t destination, Milliseconds deadline);
     void send(Request request);
@@ -87,7 +91,7 @@
     std::deque<Request> to_repeat_;
     std::deque<std::string> recent_;       // ids, the newest last
     std::map<std::string, Order> orders_;  // by the id of their last message
-    std::uint64_t submitted_ = 0;
+    std::uint64_t submitted_ = 0, batches_ = 0;
     bool stopped_ = false;
 };
 
--- a/rig/soak/soak.cpp
+++ b/rig/soak/soak.cpp
@@ -158,6 +158,7 @@
             client.impatient = plan_.impatient;
             client.withdrawn = plan_.withdrawn;
             client.bursts = plan_.bursts;
+            client.batches = plan_.batches;
             client.hands_in_again = plan_.hand_in_again;
             client.keyed_window = plan_.keyed_window;
             clients_.push_back(std::make_unique<ClientLoad>(io_, client, random_, observations_,
@@ -410,6 +411,7 @@
     plan.console_drains = chance(0.5);
     plan.crashes = chance(0.5);
     plan.hand_in_again = chance(0.5);
+    plan.batches = chance(0.5) ? 0.03 : 0;
 }
 
 Json text_of(const SoakPlan& plan) {
@@ -424,7 +426,7 @@
         {"hanging_spells", plan.hanging_spells}, {"impatient", plan.impatient}, {"withdrawn", plan.withdrawn},
         {"bursts", plan.bursts}, {"crowd", plan.crowd}, {"broken_files", plan.broken_files},
         {"console_drains", plan.console_drains}, {"crashes", plan.crashes},
-        {"hand_in_again", plan.hand_in_again}};
+        {"hand_in_again", plan.hand_in_again}, {"batches", plan.batches}};
 }
 
 SoakResult play(const SoakPlan& plan) { return Run(plan).play(); }
--- a/rig/soak/soak.hpp
+++ b/rig/soak/soak.hpp
@@ -33,6 +33,7 @@
     bool hanging_spells = false;  ///< all targets of a destination hang for 2 to 3 s now and then
     bool crashes = false;  ///< all targets of a destination die with calls out, and are back after a while
     bool hand_in_again = false;  ///< clients hand refused messages in again at once
+    double batches = 0;          ///< share of requests that are written with others, in two pieces
     double impatient = 0;        ///< share of requests that are given up early
     double withdrawn = 0;        ///< share of messages that are withdrawn
     double bursts = 0;           ///< withdrawals of a whole destination, by each client, a second
--- a/rig/soak_main.cpp
+++ b/rig/soak_main.cpp
@@ -36,6 +36,8 @@
     app.add_option("--keyed-window-ms", keyed_window, "targets drop the repeat of a key for so long");
     app.add_flag("--crashes", plan.crashes, "the targets of a destination die with calls out now and then");
     app.add_flag("--hand-in-again", plan.hand_in_again, "clients hand refused messages in again at once");
+    app.add_option(
+        "--batches", plan.batches, "share of requests that are written with others, in two pieces");
     app.add_option("--crowd", plan.crowd, "idle connections to each forwarder");
     app.add_flag("--broken-files", plan.broken_files, "SIGHUP with sound and with broken files");
     app.add_flag("--console-drains", plan.console_drains, "forwarders are taken out of service and put back");
