Settings: an unknown dedup_scope is refused with its place

Cause: whatever is neither "all" nor "zone" was read as "endpoint".

Before: Config.SaysWhereAnUnknownDedupScopeStands red ("it was taken"). After: green with the other Config tests (release).

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -73,6 +73,15 @@
     if (count == 0) throw BadInput(std::string(name) + " is not a positive whole number");
     return count;
 }
+DedupScope scope_of(const Json& fields) {
+    const auto scope = value_or<std::string>(fields, "dedup_scope", "all");
+    if (scope == "all") return DedupScope::All;
+    if (scope == "zone") return DedupScope::Zone;
+    // "cell" is a name of the simulator's page that is not used: held to the strictest group
+    if (scope == "endpoint" || scope == "cell") return DedupScope::Endpoint;
+    const auto name = value_or<std::string>(fields, "name", "");
+    throw BadInput("classes[" + name + "].dedup_scope: unknown scope " + scope);
+}
 ClassSettings class_of(const Json& fields) {
     ClassSettings result;
     const auto effect = field<std::string>(fields, "effect");
@@ -81,10 +90,7 @@
     result.effect = effect == "fragile" ? Effect::Fragile
                     : effect == "dedup" ? Effect::Dedup
                                         : Effect::Retryable;
-    const auto scope = value_or<std::string>(fields, "dedup_scope", "all");
-    result.dedup_scope = scope == "all"    ? DedupScope::All
-                         : scope == "zone" ? DedupScope::Zone
-                                           : DedupScope::Endpoint;
+    result.dedup_scope = scope_of(fields);
     result.window = time_or(fields, "window_ms", Time(0));
     result.aim = from_ms(field<double>(fields, "aim_ms"));
     result.deadline = positive_ms(fields, "hard_limit_ms");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -35,6 +35,24 @@
     EXPECT_THROW(read_config(Json::object()), std::exception);
 }
 
+// It was taken for the strictest one, also by SIGHUP.
+TEST(Config, SaysWhereAnUnknownDedupScopeStands) {
+    Json file = make_config("127.0.0.4:6379", "127.0.0.1:8500");
+    Json& keyed = file["settings"]["classes"][1];
+    for (const char* scope : {"all", "zone", "endpoint", "cell"}) {
+        keyed["dedup_scope"] = scope;
+        EXPECT_NO_THROW(read_config(file)) << scope;
+    }
+    keyed["dedup_scope"] = "zones";
+    try {
+        read_config(file);
+        ADD_FAILURE() << "it was taken";
+    } catch (const std::exception& bad) {
+        EXPECT_NE(std::string(bad.what()).find("classes[keyed].dedup_scope"), std::string::npos)
+            << bad.what();
+    }
+}
+
 TEST(Enqueue, ReadsAMessage) {
     const Config config = read_config(make_config("127.0.0.4:6379", "127.0.0.1:8500"));
     cometspoke::Time left{0};
