Program: signals are held back from its first line on

Cause: signals were held back from serve() on, behind the reading of the command line. Fix: main() begins with it; commands other than run let them through again.

What comes before main(), while the loader works, still ends the process: a parent that minds can block the signal before exec, and the program lets it through once it heeds it.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "program/commands.hpp"
+#include "program/signals.hpp"
 
 namespace {
 
@@ -19,6 +20,7 @@
 
 int main(int count, char** words) {
     using namespace lockgw::program;
+    hold_signals_back();  // serve() heeds them; the default action of SIGHUP would end the process
     CLI::App app(
         "lockgw: takes messages from clients, keeps them, and delivers each to an endpoint of its "
         "destination.");
@@ -167,6 +169,7 @@
 
     try {
         app.parse(count, words);
+        if (!run->parsed() && !app.get_subcommands().empty()) let_signals_through();
     } catch (const CLI::ParseError& wrong) {
         return app.exit(wrong) == 0 ? kWell : kUsage;
     }
