Commands that wait in the parser at the last moment of reading are refused at once

Fix: from the last moment of reading on they are refused, as what comes later is, and all that have come are answered by one write.

--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -150,6 +150,7 @@
 }
 
 void ClientSession::next() try {
+    if (!owner_.reading()) return refuse_further();
     const auto command = parser_.next();
     if (command) {
         owner_.door_.asked(ticket_, Clock::now());
@@ -157,7 +158,6 @@
         asking_ = true;
         return owner_.handle(shared_from_this(), *command);
     }
-    if (!owner_.reading()) return parser_.midway() ? turn_away(owner_.refusal()) : refuse_further();
     if (parser_.midway()) {
         owner_.door_.began(ticket_, Clock::now());
         count_buffered();
@@ -172,16 +172,20 @@
     end_behind(resp::error(std::string("ERR ") + bad.what()));
 }
 
-/// Answers the next command that has come, or waits for it.
-void ClientSession::refuse_next() try {
-    while (parser_.next())
-        if (!std::exchange(answered_early_, false)) return write(owner_.refusal());
+/// Answers all commands that have come whole, or waits for the next.
+void ClientSession::refuse_next() {
+    std::string refusals;
+    try {
+        while (parser_.next())
+            if (!std::exchange(answered_early_, false)) refusals += owner_.refusal();
+    } catch (const resp::Unreadable& bad) {
+        return end_behind(refusals + resp::error(std::string("ERR ") + bad.what()));
+    }
     count_buffered();
+    if (!refusals.empty()) return write(std::move(refusals));
     if (linger()) return await();
     leave(Phase::Ended);
     finish();
-} catch (const resp::Unreadable& bad) {
-    end_behind(resp::error(std::string("ERR ") + bad.what()));
 }
 
 void ClientSession::count_buffered() {
