--- a/review/standin-2/case6.cpp
+++ b/review/standin-2/case6.cpp
@@ -26,7 +26,7 @@
         };
         target.start();
         targets.push_back(&target);
-        discovery.put({target.id, target.address.text(), "insurer", cell});
+        discovery.put({target.id, target.address.text(), "lens-lab", cell});
     }
     Node node;
     node.discovery = &discovery;
@@ -52,15 +52,17 @@
     std::vector<Message> all;
     std::atomic<bool> done = false;
     std::atomic<int> clients = 0;
-    std::thread traffic([&] {  // 46 messages a second
+    std::thread traffic([&] {  // 46 messages a second, 68 of a hundred orders
         for (double next = now(); !done; sleep_s(next - now())) {
             static int number = 0;
             ++clients;
-            std::thread([&, dest = 1 + number++ % kPartners] {
+            const bool order = number % 25 < 17;
+            std::thread([&, order, dest = 1 + number++ % kPartners] {
                 Message message;
-                message.kind = "order-submit", message.dest = dest, message.d_ms = 16000;
+                message.kind = order ? "order-submit" : "status-update";
+                message.dest = dest, message.d_ms = order ? 16000 : 5000;
                 hand_in(node.listen, message, false);
-                record.line("sent %s for %d at %.3f: %s", message.id.c_str(), dest, message.sent,
+                record.line("sent %s, %s for %d, at %.3f: %s", message.id.c_str(), message.kind.c_str(), dest, message.sent,
                     message.answer.empty() ? "no answer" : message.answer.c_str());
                 const std::lock_guard hold(lock);
                 all.push_back(message);
@@ -109,7 +111,7 @@
 
     int taken = 0, erred = 0, twice = 0;
     for (const Message& message : all) {
-        if (message.answer != "+OK" || message.sent < told + kBinds + kMargin) continue;
+        if (message.kind != "order-submit" || message.answer != "+OK" || message.sent < told + kBinds + kMargin) continue;
         ++taken;
         for (Target* target : targets) {
             bool may_have_run = false;
--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -500,9 +500,9 @@
                "],\"clients\":{\"marks_retry\":true},\"contract\":{\"answer_slack_ms\":20.0,\"cold_from\":0.16,"
                "\"drain_grace_ms\":500.0,\"fall_ms\":2000.0,\"fall_multiple\":2.5,\"must_ask_in_ms\":10000.0,"
                "\"warm_within_ms\":11000.0},\"discovery\":\"automatic\",\"family_info\":{\"carriage\":[0.0],"
-               "\"loses_worth\":\"halving\",\"per_call\":[1,1],\"routes_apart\":[false,false],\"slots\":" +
+               "\"loses_worth\":\"halving\",\"per_call\":[1,1,1],\"routes_apart\":[false,false,false],\"slots\":" +
                std::to_string(slots) +
-               ",\"turned_away_price\":0.03},\"kinds\":[\"shop\",\"insurer\"],\"limits\":{\"cancel\":true,"
+               ",\"turned_away_price\":0.03},\"kinds\":[\"lens-lab\",\"shop\",\"insurer\"],\"limits\":{\"cancel\":true,"
                "\"conn_idle_ms\":10000.0,\"connect_timeout_ms\":1000.0,\"max_attempts\":12,"
                "\"max_retry_after_ms\":2000.0,\"most_held\":" +
                std::to_string(most_held) +
