--- a/review/standin-2/case7.cpp
+++ b/review/standin-2/case7.cpp
@@ -36,8 +36,9 @@
         node.instances = kForwarders;
         node.discovery = &discovery;
         node.classes = class_row("order-submit", "fragile", 4000, kDeadline_ms, 4000, 1);
-        processes.push_back(node.start());
     }
+    nodes[0]->other_peer = nodes[1]->peer, nodes[1]->other_peer = nodes[0]->peer;
+    for (auto& node : nodes) processes.push_back(node->start());
     for (auto& node : nodes) node->wait_ready();
 
     std::mutex lock;
--- a/review/standin-2/case8.cpp
+++ b/review/standin-2/case8.cpp
@@ -31,7 +31,7 @@
         };
         target.start();
         targets.push_back(&target);
-        discovery.put({target.id, target.address.text(), "insurer", cell});
+        discovery.put({target.id, target.address.text(), "lens-lab", cell});
     }
     Node node;
     node.discovery = &discovery;
--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -521,8 +521,8 @@
                    discovery->address.text() + "\",\"seed\":\"" + new_id() +
                    "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3},"
                    "\"peer_listen\":\"" +
-                   peer.text() + "\",\"peers\":[\"" + peer.text() + "\",\"" + other_peer.text() +
-                   "\"],\"known\":" + discovery->list() + ",\"settings\":" + settings() + "}";
+                   peer.text() + "\",\"peers\":[\"" + (number == 0 ? peer : other_peer).text() + "\",\"" +
+                   (number == 0 ? other_peer : peer).text() + "\"],\"known\":" + discovery->list() + ",\"settings\":" + settings() + "}";
         std::filesystem::rename(path + ".new", path);
     }
     pid_t start(const std::string& console = "") {
