Program: a SIGHUP that comes while a new version takes over is passed on

Cause: the platform signals the process that serves by all that it has heard, which is the old one until the new one has said yes. The new one reads its files before that. The old one stands by, and its handler dropped SIGHUP.

Change: a process that does not own the state folder posts the request as an empty file there; the owner looks every 25 ms, removes it and reads its files. Removed first, so that a request during the reading is found by the next look.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -84,7 +84,8 @@
     std::set<std::string> listed = ids_of(config->members);
     const auto stand_by = [&](Waiting::Goal goal) {
         PendingOrders pending_orders(config->config.state, config->config.disk_bytes, listed);
-        StandbyProcess standby(locks, goal, pending_orders, console);
+        StandbyProcess standby(
+            locks, goal, pending_orders, handover::ReloadRequest(config->config.state), console);
         const auto end = standby.run();
         console = standby.release_console();
         return end_signal.told() ? StandbyProcess::End::Leave : end;
--- a/src/program/service.cpp
+++ b/src/program/service.cpp
@@ -14,6 +14,8 @@
 namespace lockgw::program {
 namespace {
 
+constexpr std::chrono::milliseconds kReloadRequestPollInterval{25};
+
 Protocols protocols() {
     return {[](auto& io, const Config& config, std::size_t most, Intake& intake) {
                 return std::make_unique<Clients>(io, config, most, intake);
@@ -60,13 +62,15 @@
     handover::LockFiles& locks, int console)
     : sources_(sources),
       locks_(locks),
+      reload_request_(loaded->config.state),
       // first: a SIGHUP during the start must not end the process either
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       running_(std::move(loaded)),
       forwarder_(io_, running_->config, protocols(), running_->table),
       server_(io_, verbs_),
       console_(io_, [this](const operations::Order& order) { return forwarder_.execute_order(order); }),
-      worker_(io_) {
+      worker_(io_),
+      reload_request_timer_(io_) {
     log::set(running_->config.log);
     verbs_.add("status", [this](const Json&) { return status(); });
     verbs_.add("spread", [this](const Json&) { return forwarder_.subset_status(); });
@@ -113,12 +117,14 @@
 Service::End Service::run() {
     heed();
     forwarder_.start();
-    if (running_->config.listen_fd)
+    if (running_->config.listen_fd) {
         forwarder_.enable_hand_over([this] { return locks_.wanted(); },
             [this] {
                 handed_over_ = true;
                 io_.stop();
             });
+        poll_reload_request();
+    }
     locks_.drop_next();
     let_signals_through();
     run_guarded(io_);
@@ -141,6 +147,11 @@
     asked_.push_back(std::move(promise));
     if (!loading_) load_anew();
 }
+/// The process that has handed over passes its SIGHUP on.
+void Service::poll_reload_request() {
+    if (reload_request_.take()) reload({});
+    reload_request_timer_.call_after(kReloadRequestPollInterval, [this] { poll_reload_request(); });
+}
 void Service::load_anew() {
     loading_ = true;
     // the worker's one job: there is room
--- a/src/program/service.hpp
+++ b/src/program/service.hpp
@@ -10,10 +10,12 @@
 #include <vector>
 
 #include "background/worker.hpp"
+#include "base/timer.hpp"
 #include "console/server.hpp"
 #include "control/server.hpp"
 #include "core/forwarder.hpp"
 #include "handover/lock_files.hpp"
+#include "handover/reload_request.hpp"
 #include "program/load.hpp"
 
 namespace lockgw::program {
@@ -46,6 +48,7 @@
     void listen_in_the_folder();
     void reload(control::Promise promise);
     void load_anew();
+    void poll_reload_request();
     control::Outcome taken_over(Worker::Came<Loaded>& came);
     Json ordered(const Json& args);
     void work(const Json& args, control::Promise promise);
@@ -53,6 +56,7 @@
 
     const Sources sources_;
     handover::LockFiles& locks_;
+    const handover::ReloadRequest reload_request_;
     boost::asio::io_context io_{1};
     boost::asio::signal_set signals_;
     std::shared_ptr<const Loaded> running_;
@@ -61,6 +65,7 @@
     control::Server server_;
     console::Server console_;
     Worker worker_;  // reads and checks files, while messages go on
+    Timer reload_request_timer_;
     std::vector<control::Promise> asked_;
     bool loading_ = false, told_to_end_ = false, handed_over_ = false;
     std::size_t reloads_ = 0;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -110,6 +110,38 @@
     EXPECT_EQ(call(console, "PUT", "targets/s-2/online"), 200);
 }
 
+// The new process reads its files before it says that it is ready. New settings whose SIGHUP came to the old
+// process between the two never came into force: the old one, which had handed over, dropped the signal.
+TEST_F(UpgradeTest, ASighupToTheProcessThatHasHandedOverIsHeeded) {
+    start_with({member("s-1", 0)});
+    const std::string next = new_console();
+    const pid_t old = node.pid(), fresh = node.start_beside({{"NODE_CONSOLE", next}});
+    ASSERT_TRUE(ready(next)) << node.log();
+    Json express = node.config()["settings"]["classes"][0];
+    express["name"] = "express";
+    node.config()["settings"]["classes"].push_back(express);
+    node.reload(node.config().dump());  // to the old one: it has not been told to end yet
+    Client client = node.client();
+    EXPECT_TRUE(eventually([&] { return hand_in(client, 1, "express") == "+OK"; })) << node.log();
+    ::kill(old, SIGTERM), ::waitpid(old, nullptr, 0);
+    node.follow(fresh);
+    console = next;
+}
+
+// The same where the new process has not taken over yet: the one that serves reads its files anew.
+TEST_F(UpgradeTest, ASighupToTheProcessThatWaitsIsHeeded) {
+    start_with({member("s-1", 0)});
+    ::kill(node.pid(), SIGSTOP);  // it neither hands over nor dies
+    const std::string next = new_console();
+    const pid_t old = node.pid(), fresh = node.start_beside({{"NODE_CONSOLE", next}});
+    ASSERT_TRUE(eventually([&] { return call(next, "GET", "ready") == 503; })) << node.log();
+    ::kill(fresh, SIGHUP);
+    ASSERT_TRUE(node.logs("passed on"));
+    ::kill(fresh, SIGKILL), ::waitpid(fresh, nullptr, 0);
+    ::kill(old, SIGCONT);
+    EXPECT_TRUE(node.logs("configuration read anew")) << node.log();
+}
+
 TEST_F(UpgradeTest, ANewOneThatCannotServeCostsNothing) {
     start_with({member("s-1", 0)});
     const auto bad = node.folder() / "bad.json";
