--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -26,10 +26,6 @@
 // when the process ends, and when it ends even if a reply to a client is still to be written.
 constexpr auto kStopReadingAfter = 3300ms, kStopAfter = 3400ms, kStopAtLatest = 3600ms;
 constexpr auto kReplyPollInterval = 10ms;
-// A client whose connection ended before it had read the reply submits the same message again under the same
-// id: it waits 400 ms for the reply, and reconnects.
-constexpr Time kRepeatWindow = 2s;
-constexpr std::size_t kMaxRecentlyEnded = 16'384;
 constexpr auto kRetryAfterFull = 1000ms;  // retry-after when the journal or the held messages are full
 
 /// Reads the hand-over state of the previous process and deletes its file: it is of no use to a later
@@ -91,7 +87,7 @@
           [this](const TargetView::Update& update) { apply_target_list(update); },
           [this](MessageId id) {
               schedule_turn();
-              journal_.confirmed(id);
+              journal_.confirmed(id, moment_now());
               stop_if_done();
           }),
       cluster_(
@@ -106,8 +102,7 @@
       clients_handed_over_timer_(io),
       drain_timer_(io),
       orders_timer_(io),
-      hand_over_timer_(io),
-      recently_ended_(kRepeatWindow, kMaxRecentlyEnded) {}
+      hand_over_timer_(io) {}
 Forwarder::~Forwarder() = default;
 
 void Forwarder::start() {
@@ -218,7 +213,7 @@
     }
     // A client whose connection was closed submits the same id again. The message is held already or has
     // ended meanwhile; accepting it again would deliver it twice.
-    if (journal_.find(id) != nullptr || recently_ended_.contains(id, steady_now()))
+    if (journal_.find(id) != nullptr || journal_.has_ended(id, moment_now()))
         return on_reply(Reply::accepted());
     if (!directory_.has_destination(message.destination, std::chrono::steady_clock::now()) &&
         !directory_.empty())
@@ -296,8 +291,7 @@
         status.perhaps_delivered = served;
         return end_message(id, status);
     }
-    journal_.delivered(id);
-    recently_ended_.add(id, steady_now());
+    journal_.delivered(id, moment_now());
 }
 
 /// Passes an event to the module and has a turn decide on it. The module gets all events of a turn of the
@@ -384,8 +378,7 @@
     const Entry* entry = journal_.find(id);
     if (entry == nullptr) return {};  // submitted in this turn: the reply is the final status
     if (entry->may_have_run()) log_ended_in_doubt(*entry, status);
-    journal_.end(id, status);
-    recently_ended_.add(id, steady_now());
+    journal_.end(id, status, moment_now());
     recovery_.on_message_ended(id, false);
     return {true, 0};
 }
--- a/src/core/forwarder.hpp
+++ b/src/core/forwarder.hpp
@@ -26,7 +26,6 @@
 
 #include "base/timer.hpp"
 #include "config/config.hpp"
-#include "containers/recent_set.hpp"
 #include "core/capture_control.hpp"
 #include "core/cluster_membership.hpp"
 #include "core/delivery.hpp"
@@ -239,8 +238,6 @@
     std::chrono::steady_clock::duration longest_turn_{};      // reported in status() and at the end
     std::map<MessageId, SubmittedMessage> submitted_;         // in this turn, not answered yet
     std::vector<std::pair<MessageId, FinalStatus>> ended_;    // by end_message(), not reported yet
-    // Messages whose clients may not have read the reply yet, and may submit them again.
-    RecentSet<MessageId, cometspoke::Time> recently_ended_;
 };
 
 }  // namespace lockgw
--- a/src/core/forwarder_recovery.cpp
+++ b/src/core/forwarder_recovery.cpp
@@ -122,7 +122,6 @@
         const Message& message = entry->message;
         if (entry->notice) {
             discovery_.report_final_status(message.id, owed_status(*entry));
-            recently_ended_.add(message.id, steady_now());  // the entry goes when the agent has taken it
             continue;
         }
         if (entry->unconfirmed) {  // nothing more can be learned; the report changes nothing if it was
@@ -188,8 +187,7 @@
 
 /// Ends a message that the module does not know: records its final status, which report_ended() reports.
 void Forwarder::end_message(MessageId id, const FinalStatus& status) {
-    journal_.end(id, status);
-    recently_ended_.add(id, steady_now());
+    journal_.end(id, status, moment_now());
     ended_.emplace_back(id, status);
 }
 /// Reports the final statuses of end_message(). To be called once they are in the journal: a process that is
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -31,6 +31,7 @@
     Under,  ///< by which terms the entry that follows was taken on
     Wait,   ///< that a target was told
     DeliveredUnconfirmed,
+    EndedBefore,  ///< ids of messages that had ended before a compaction
 };
 
 constexpr std::size_t kHeader = 8;           // length and checksum
@@ -49,6 +50,14 @@
 
 constexpr std::size_t kUnconfirmedSize = 24;  // of a record of an unconfirmed delivery, with its frame
 
+constexpr std::chrono::minutes kEndedLifetime{10};
+constexpr std::size_t kMostEnded = 1u << 16;  // ids of ended messages in memory, some 70 bytes each
+// In the file there are fewer where it holds much else: kEndedOfFree of what a compaction leaves free, and
+// kMostEndedShare of all at the most.
+constexpr double kEndedOfFree = 0.125, kMostEndedShare = 0.0625;
+constexpr std::size_t kEndedSize = 24;        // of each in the record of a compaction,
+constexpr std::size_t kEndedRecordSize = 32;  // and of the rest of it, with its frame
+
 constexpr std::size_t kMostReserved = 1u << 20;  // entries
 
 constexpr std::size_t kLeastCompaction = 512 * 1024;  // a file is written anew from this size,
@@ -76,6 +85,8 @@
     Writer& steady(const Moment& value) {
         return number<std::int64_t>(value.steady.count()).number<std::uint64_t>(value.boot_id);
     }
+    /// A moment at the end of a record that has none in an older build.
+    Writer& moment(const Moment& value) { return wall(value).steady(value); }
     Writer& attempt(const std::optional<BegunAttempt>& value) {
         number<std::uint8_t>(value.has_value());
         return value ? wall(value->since).text(value->target) : *this;
@@ -109,6 +120,13 @@
         moment.steady = std::chrono::microseconds(number<std::int64_t>());
         moment.boot_id = number<std::uint64_t>();
     }
+    /// None where an older build wrote the record, or the moment was not known.
+    std::optional<Moment> moment() {
+        if (rest_.empty()) return std::nullopt;
+        Moment moment = wall();
+        steady(moment);
+        return moment == Moment() ? std::nullopt : std::optional(moment);
+    }
     std::optional<BegunAttempt> attempt() {
         if (number<std::uint8_t>() == 0) return std::nullopt;
         const Moment since = wall();
@@ -257,7 +275,9 @@
 }
 
 Journal::Journal(std::filesystem::path folder, std::size_t disk_bytes, std::size_t expected)
-    : folder_(std::move(folder)), most_(disk_bytes - std::min(disk_bytes, kFolder)) {
+    : folder_(std::move(folder)),
+      most_(disk_bytes - std::min(disk_bytes, kFolder)),
+      ended_(kEndedLifetime, kMostEnded) {
     entries_.reserve(std::min(expected, kMostReserved));
     std::error_code ignored;
     std::filesystem::remove(folder_ / "journal.new", ignored);  // a compaction that was cut off
@@ -316,6 +336,17 @@
         if (waits_.insert_or_assign(target, wait).second) live_ += kWaitSize + target.size();
         return true;
     }
+    if (kind == Kind::EndedBefore) {
+        EndedMessages::Ended ended;
+        ended.at.boot_id = reader.number<std::uint64_t>();
+        for (auto left = reader.number<std::uint32_t>(); left > 0; --left) {
+            ended.id = reader.number<MessageId>();
+            ended.at.steady = std::chrono::microseconds(reader.number<std::int64_t>());
+            ended.at.wall = std::chrono::microseconds(reader.number<std::int64_t>());
+            ended_.add(ended.id, ended.at);
+        }
+        return true;
+    }
     if (kind == Kind::Entry) {
         Entry entry = read_entry(id, reader);
         if (const auto under = std::exchange(under_, std::nullopt); under && under->first == id)
@@ -352,8 +383,10 @@
         entry.unconfirmed = false;
         entry.notice = read_notice(reader);
         std::string().swap(entry.message.body);
+        if (const auto at = reader.moment()) ended_.add(id, *at);
     } else {
         entries_.erase(found);
+        if (const auto at = reader.moment()) ended_.add(id, *at);
         return true;
     }
     live_ += cost(entry);
@@ -409,12 +442,16 @@
 void Journal::end_attempt(MessageId id, bool never_ran) {
     write(Writer(never_ran ? Kind::NeverRan : Kind::MayHaveRun).number(id).bytes());
 }
-void Journal::delivered(MessageId id) { write(Writer(Kind::Delivered).number(id).bytes()); }
-void Journal::confirmed(MessageId id) { write(Writer(Kind::Confirmed).number(id).bytes()); }
-void Journal::end(MessageId id, FinalStatus notice) {
+void Journal::delivered(MessageId id, const Moment& now) {
+    write(Writer(Kind::Delivered).number(id).moment(now).bytes());
+}
+void Journal::confirmed(MessageId id, const Moment& now) {
+    write(Writer(Kind::Confirmed).number(id).moment(now).bytes());
+}
+void Journal::end(MessageId id, FinalStatus notice, const Moment& now) {
     Writer writer(Kind::Ended);
     writer.number(id).number<std::uint8_t>(notice.refused).number<std::int64_t>(notice.retry_after.count());
-    write(writer.bytes());
+    write(writer.moment(now).bytes());
 }
 
 void Journal::wait_told(const std::string& name, const KeptWait& wait) {
@@ -439,7 +476,38 @@
 
 bool Journal::room_for(std::size_t bytes) const {
     const std::size_t fresh = pending_.size() + bytes;
-    return in_blocks(size_ + fresh) + in_blocks(live_ + bytes) <= most_;
+    return in_blocks(size_ + fresh) + in_blocks(compacted_size() + bytes) <= most_;
+}
+
+/// How many of the ended messages a compaction would write.
+std::size_t Journal::stored_ended() const {
+    const auto most = static_cast<double>(most_);
+    const double free = std::max(0.0, most - 2.0 * static_cast<double>(live_));
+    const double room = std::min(kEndedOfFree * free, kMostEndedShare * most);
+    return std::min(ended_.size(), static_cast<std::size_t>(room) / kEndedSize);
+}
+/// At most so many bytes are in the file after a compaction.
+std::size_t Journal::compacted_size() const {
+    const std::size_t ended = stored_ended();
+    return live_ + (ended > 0 ? kEndedRecordSize + ended * kEndedSize : 0);
+}
+/// The newest ended messages, of this boot of the machine; empty where there are none.
+std::string Journal::ended_record() const {
+    const std::size_t count = stored_ended();
+    if (count == 0) return {};
+    const auto& all = ended_.in_order();
+    const std::uint64_t boot_id = all.back().at.boot_id;
+    const auto first = all.end() - static_cast<std::ptrdiff_t>(count);
+    const auto stored = [boot_id](const EndedMessages::Ended& one) { return one.at.boot_id == boot_id; };
+    Writer writer(Kind::EndedBefore);
+    writer.number<MessageId>(0).number(boot_id);
+    writer.number(static_cast<std::uint32_t>(std::count_if(first, all.end(), stored)));
+    for (auto one = first; one != all.end(); ++one)
+        if (stored(*one))
+            writer.number(one->id)
+                .number<std::int64_t>(one->at.steady.count())
+                .number<std::int64_t>(one->at.wall.count());
+    return framed(writer.bytes());
 }
 
 bool Journal::append(const std::string& record) { return append_framed(framed(record)); }
@@ -448,7 +516,7 @@
 bool Journal::append_framed(const std::string& bytes) {
     // The file counts as memory, and all of it is read at the next start.
     const std::size_t size = size_ + pending_.size();
-    if (size > kLeastCompaction && size > kStaleTimes * live_) compact();
+    if (size > kLeastCompaction && size > kStaleTimes * compacted_size()) compact();
     if ((stale_ || !room_for(bytes.size())) && !compact()) return false;
     if (!room_for(bytes.size())) return false;
     if (in_turn_) {
@@ -501,6 +569,8 @@
         bytes += framed(record_of(entry));
         if (entry.unconfirmed) bytes += framed(unconfirmed_record(entry.message.id));
     }
+    const std::string ended = ended_record();
+    if (in_blocks(size_) + in_blocks(bytes.size() + ended.size()) <= most_) bytes += ended;
     if (in_blocks(size_) + in_blocks(bytes.size()) > most_) return false;
     const auto fresh = folder_ / "journal.new";
     const auto open = [&fresh] {
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -25,6 +25,7 @@
 #include "base/final_status.hpp"
 #include "base/spare_descriptor.hpp"
 #include "cometspoke/sender.hpp"
+#include "store/ended_messages.hpp"
 
 namespace lockgw {
 
@@ -111,9 +112,12 @@
     bool begin_attempt(MessageId id, const std::string& target, const Moment& now);
     /// The attempt that is out has an outcome.
     void end_attempt(MessageId id, bool never_ran);
-    void delivered(MessageId id);
-    void end(MessageId id, FinalStatus notice);
-    void confirmed(MessageId id);
+    // `now`: when the message ended, from where on has_ended() knows it. Unknown by default: it is forgotten.
+    void delivered(MessageId id, const Moment& now = {});
+    void end(MessageId id, FinalStatus notice, const Moment& now = {});
+    void confirmed(MessageId id, const Moment& now = {});
+    /// Whether a message with this id has ended lately, in this process or an earlier one.
+    bool has_ended(MessageId id, const Moment& now) { return ended_.contains(id, now); }
 
     /// In the place of what `target` was told before. Of more than kMostWaits the one told first goes.
     void wait_told(const std::string& target, const KeptWait& wait);
@@ -136,6 +140,9 @@
     bool compact();
     void write(const std::string& record);
     bool room_for(std::size_t bytes) const;
+    std::size_t stored_ended() const;
+    std::size_t compacted_size() const;
+    std::string ended_record() const;
     static std::size_t cost(const Entry& entry);
 
     std::filesystem::path folder_;
@@ -154,6 +161,7 @@
     std::size_t unended_ = 0;
     std::map<std::uint32_t, Terms> terms_;   // by the numbers that the file gives them
     std::map<std::string, KeptWait> waits_;  // by target
+    EndedMessages ended_;
     bool found_ = false;
     std::optional<std::pair<MessageId, std::uint32_t>> under_;  // of the entry that is read next
 };
--- a/tests/containers_test.cpp
+++ b/tests/containers_test.cpp
@@ -7,35 +7,53 @@
 
 #include "containers/due_queue.hpp"
 #include "containers/grouped_queue.hpp"
-#include "containers/recent_set.hpp"
+#include "store/ended_messages.hpp"
 
 namespace lockgw {
 namespace {
 
-TEST(RecentSet, MatchesAListOfKeysAndTimes) {
-    constexpr int kLifetime = 5;
-    constexpr std::size_t kCapacity = 4;
-    EXPECT_TRUE(rc::check("recent set", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& script) {
-        RecentSet<int, int> recent(kLifetime, kCapacity);
-        std::vector<std::pair<int, int>> model;  // time added and key, oldest first
-        int now = 0;
-        for (const auto& [operation, step] : script) {
-            now += step % 4;
-            std::erase_if(model, [&](const auto& entry) { return entry.first + kLifetime <= now; });
-            const int key = operation % 8;
-            const auto has = [&](int wanted) {
-                return std::any_of(
-                    model.begin(), model.end(), [&](const auto& entry) { return entry.second == wanted; });
-            };
-            if (operation % 3 == 0) {
-                recent.add(key, now);
-                if (!has(key)) model.emplace_back(now, key);
-                if (model.size() > kCapacity) model.erase(model.begin());
+Moment moment_at(int steady) {
+    return {std::chrono::microseconds(steady), std::chrono::microseconds(1'000'000 + steady), 42};
+}
+
+TEST(EndedMessages, MatchesAListOfIdsAndMoments) {
+    static constexpr int kLifetime = 5;
+    static constexpr std::size_t kCapacity = 4;
+    EXPECT_TRUE(
+        rc::check("ended messages", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& script) {
+            EndedMessages ended(std::chrono::microseconds(kLifetime), kCapacity);
+            std::vector<std::pair<int, std::uint64_t>> model;  // moment of the end and id, oldest first
+            int now = 0;
+            for (const auto& [operation, step] : script) {
+                now += step % 4;
+                std::erase_if(model, [&](const auto& entry) { return entry.first + kLifetime <= now; });
+                const std::uint64_t id = operation % 8;
+                const auto has = [&](std::uint64_t wanted) {
+                    return std::any_of(model.begin(), model.end(),
+                        [&](const auto& entry) { return entry.second == wanted; });
+                };
+                if (operation % 3 == 0) {
+                    ended.add(id, moment_at(now));
+                    if (!has(id)) model.emplace_back(now, id);
+                    if (model.size() > kCapacity) model.erase(model.begin());
+                }
+                RC_ASSERT(ended.contains(id, moment_at(now)) == has(id));
+                RC_ASSERT(ended.size() == model.size());
             }
-            RC_ASSERT(recent.contains(key, now) == has(key));
-            RC_ASSERT(recent.size() == model.size());
-        }
-    }));
+        }));
+}
+
+// After a boot of the machine only the wall clock can tell; where that was set back, an id is kept.
+TEST(EndedMessages, LivesByTheWallClockOverABoot) {
+    EndedMessages ended(std::chrono::microseconds(5), 4);
+    ended.add(1, moment_at(100));
+    Moment booted = moment_at(0);
+    booted.boot_id = 43;
+    EXPECT_TRUE(ended.contains(1, booted)) << "before its end by the wall clock";
+    booted.wall = moment_at(104).wall;
+    EXPECT_TRUE(ended.contains(1, booted));
+    booted.wall = moment_at(105).wall;
+    EXPECT_FALSE(ended.contains(1, booted));
 }
 
 TEST(DueQueue, MatchesASortedMap) {
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -77,6 +77,49 @@
     EXPECT_EQ(Journal(folder.path(), kRoom).entries().size(), 2u);
 }
 
+// An id that comes again must not run twice, by whichever process it is met.
+TEST(Journal, KnowsWhatHasEndedOverRestartsAndCompactions) {
+    TemporaryFolder folder;
+    {
+        Journal journal(folder.path(), kRoom);
+        for (MessageId id = 1; id <= 4; ++id) ASSERT_TRUE(journal.take_on(make_message(id)));
+        journal.delivered(1, kNow);
+        journal.end(2, {}, kNow);
+        journal.end(3, {});
+        journal.confirmed(3, kNow);
+        EXPECT_FALSE(journal.has_ended(4, kNow));
+    }
+    const Moment in_time = kNow + std::chrono::minutes(9), too_late = kNow + std::chrono::minutes(10);
+    for (int restart = 0; restart < 3; ++restart) {  // all but the first read what the one before compacted
+        Journal journal(folder.path(), kRoom);
+        for (const MessageId id : {1, 2, 3}) EXPECT_TRUE(journal.has_ended(id, in_time)) << id;
+        EXPECT_FALSE(journal.has_ended(4, in_time));
+        EXPECT_NE(journal.find(4), nullptr);
+    }
+    EXPECT_FALSE(Journal(folder.path(), kRoom).has_ended(1, too_late));
+}
+
+// The newest are kept, within a small part of the room.
+TEST(Journal, EndedMessagesTakeASmallPartOfTheFile) {
+    TemporaryFolder folder;
+    constexpr MessageId kCount = 20'000;
+    {
+        Journal journal(folder.path(), kRoom);
+        for (MessageId id = 1; id <= kCount; ++id) {
+            ASSERT_TRUE(journal.take_on(make_message(id)));
+            journal.delivered(id, kNow);
+            ASSERT_LE(bytes_on_disk(folder.path()), kRoom);
+        }
+        EXPECT_TRUE(journal.has_ended(1, kNow)) << "in memory there is room for all of them";
+    }
+    Journal(folder.path(), kRoom);  // compacts at its start
+    EXPECT_LE(bytes_on_disk(folder.path()), kRoom / 16);
+    Journal journal(folder.path(), kRoom);
+    EXPECT_TRUE(journal.has_ended(kCount, kNow));
+    EXPECT_TRUE(journal.has_ended(kCount - 2000, kNow));
+    EXPECT_FALSE(journal.has_ended(1, kNow));
+}
+
 /// The records of a file, without their frames.
 std::vector<std::string> records_of(std::string bytes) {
     std::vector<std::string> records;
