Clients: requests that a client has left behind are not taken on any more

Cause: that a client has gone was noticed only by the first answer that could not be written. A request read behind the reset was taken on, and behind a close one more than the first.

Change: the kernel's word that is asked for with each read anyway (TCP_INFO) tells of a reset as well; between two commands of a batch, and for a request that has waited for 1 ms or more, it is asked once more. Nothing is taken on then. A half-closed client is served as before.

Evidence: LeavingClient.* (reset: nothing owed; close: one at most; half-close: 30 of 30 answers) pass, and the mutant takes_on_behind_a_reset is found by them.

--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -22,10 +22,11 @@
 constexpr auto kAcceptPause = 20ms;  // after a failed accept, such as one for want of descriptors
 constexpr auto kRoomPause = 5ms;     // until somebody's grace is over
 constexpr auto kSweep = 200ms;
-constexpr auto kSweepOn = 1ms;     // where one turn was not enough
-constexpr auto kTell = 5s;         // between log lines
-constexpr auto kLeaving = 1500ms;  // out of service: all clients are let go by then
-constexpr auto kOutWait = 1000ms;  // and who comes later is told to come again after this
+constexpr auto kSweepOn = 1ms;        // where one turn was not enough
+constexpr auto kAbandonedFrom = 1ms;  // a request that has waited so long may have lost its client
+constexpr auto kTell = 5s;            // between log lines
+constexpr auto kLeaving = 1500ms;     // out of service: all clients are let go by then
+constexpr auto kOutWait = 1000ms;     // and who comes later is told to come again after this
 // In one turn of the loop: each costs some 50 us with what it has sent already, and a request waits for all
 // of them in each of the four turns that it takes.
 constexpr std::size_t kAccepts = 2;
@@ -293,7 +294,13 @@
 /// Cheap: before anything of the request is read, and without the journal.
 bool Clients::turned_away(const Session& session) {
     const auto now = Clock::now();
-    const auto verdict = overload_.judge(now - session->arrived(), now);
+    const auto waited = now - session->arrived();
+    if (waited >= kAbandonedFrom && session->is_over()) {
+        ++counters_.gone;
+        session->close();
+        return true;
+    }
+    const auto verdict = overload_.judge(waited, now);
     if (verdict == Overload::Verdict::Serve) return false;
     if (verdict == Overload::Verdict::Gone && session->hung_up()) {
         ++counters_.gone;
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -26,13 +26,17 @@
 constexpr auto kLinger = std::chrono::milliseconds(100), kLingerAtEnd = std::chrono::milliseconds(50);
 constexpr auto kMostLinger = std::chrono::milliseconds(1000), kMostRefusing = std::chrono::milliseconds(400);
 
-/// How long the newest bytes have lain in the kernel, also while their connection was in the listener's
-/// queue.
-Clock::duration waited_in_kernel(int socket) {
+/// What the kernel knows of a connection.
+struct KernelState {
+    /// How long the newest bytes have lain there, also while their connection was in the listener's queue.
+    Clock::duration waited{};
+    bool reset = false;  ///< by its client; what it sent before can still be read
+};
+KernelState kernel_state(int socket) {
     tcp_info info{};
     socklen_t length = sizeof info;
     if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return {};
-    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+    return {std::chrono::milliseconds(info.tcpi_last_data_recv), info.tcpi_state == TCP_CLOSE};
 }
 
 }  // namespace
@@ -58,6 +62,8 @@
     return poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool ClientSession::is_over() { return closed_ || kernel_state(socket_.native_handle()).reset; }
+
 void ClientSession::close(bool for_room) {
     if (closed_) return;
     closed_ = true;
@@ -141,7 +147,9 @@
     meter_.count(count, owner_.read_turns_.limits(), now);
     if (phase_ == Phase::Ended) return discard(count);
     if (phase_ == Phase::Open && !owner_.reading()) leave(Phase::Refusing);
-    arrived_ = now - waited_in_kernel(socket_.native_handle());
+    const KernelState kernel = kernel_state(socket_.native_handle());
+    if (kernel.reset) return close();  // nobody reads an answer: nothing of it is taken on
+    arrived_ = now - kernel.waited;
     parser_.feed({owner_.in_.data(), count});
     phase_ == Phase::Open ? next() : refuse_next();
 } catch (const std::exception& fault) {
@@ -221,6 +229,7 @@
 }
 
 void ClientSession::written() {
+    if (parser_.midway() && is_over()) return close();  // nobody waits for what came along with this command
     arrived_ = Clock::now();  // what came along with the last command has waited for it, not for us
     if (!is_to_end()) {
         linger_timer_.reset();
--- a/src/fronts/resp2/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -27,6 +27,8 @@
     bool unread();
     /// Its client has closed, or ended its sending: most likely nobody waits for the answer.
     bool hung_up();
+    /// Its connection was reset, or is closed here: nobody can read an answer any more.
+    bool is_over();
     /// Reads now, without waiting for the loop to tell.
     void read_now() { take(); }
     /// The same in its turn, and gives the bytes read.
