Clients: a list of thousands of names in a request no longer costs milliseconds

Cause: each pair was copied into a map, known or not.

Change: the names that are known are looked for in the text; nothing else is copied.

--- a/src/fronts/resp2/enqueue.cpp
+++ b/src/fronts/resp2/enqueue.cpp
@@ -1,7 +1,9 @@
 #include "fronts/resp2/enqueue.hpp"
 
+#include <algorithm>
 #include <charconv>
-#include <map>
+#include <optional>
+#include <string_view>
 
 namespace lockgw {
 
@@ -22,18 +24,39 @@
     return value;
 }
 
-/// "c=notice,t=acme,d=8000" as names and values; a name that is unknown here is passed over.
-std::map<std::string, std::string> pairs_of(const std::string& text) {
-    std::map<std::string, std::string> pairs;
-    for (std::size_t at = 0; at < text.size();) {
-        const std::size_t end = std::min(text.find(',', at), text.size());
-        const std::string pair = text.substr(at, end - at);
+/// The values that an ENQUEUE names. They point into its text.
+struct NamedValues {
+    std::optional<std::string_view> message_class, tenant, left, destination, key;
+
+    /// None for a name that is unknown here.
+    std::optional<std::string_view>* find(std::string_view name) {
+        if (name == "c") return &message_class;
+        if (name == "t") return &tenant;
+        if (name == "d") return &left;
+        if (name == "dest") return &destination;
+        if (name == "k") return &key;
+        return nullptr;
+    }
+};
+
+/// Reads "c=notice,t=acme,d=8000". Unknown names are passed over without a copy: a list may hold thousands.
+/// Of a name that comes twice the last value counts.
+NamedValues named_values_of(std::string_view text) {
+    NamedValues values;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(','), text.size());
+        const std::string_view pair = text.substr(0, end);
         const std::size_t equals = pair.find('=');
-        if (equals == std::string::npos) throw BadInput("a name without a value");
-        pairs.insert_or_assign(pair.substr(0, equals), pair.substr(equals + 1));
-        at = end + 1;
+        if (equals == std::string_view::npos) throw BadInput("a name without a value");
+        if (auto* value = values.find(pair.substr(0, equals))) *value = pair.substr(equals + 1);
+        text.remove_prefix(std::min(end + 1, text.size()));
     }
-    return pairs;
+    return values;
+}
+
+std::string required(const std::optional<std::string_view>& value, const char* name) {
+    if (!value) throw BadInput(std::string("missing ") + name);
+    return std::string(*value);
 }
 
 /// The key goes on as a header of the call: nothing that could end a header line may be in it.
@@ -48,25 +71,20 @@
 Message message_of(
     const resp::Command& command, const Config& config, const Moment& now, cometspoke::Time& left) {
     if (command.size() != 5) throw BadInput("wrong number of arguments for ENQUEUE");
-    auto pairs = pairs_of(command[3]);
-    const auto value = [&pairs](const char* name) -> const std::string& {
-        const auto found = pairs.find(name);
-        if (found == pairs.end()) throw BadInput(std::string("missing ") + name);
-        return found->second;
-    };
+    const NamedValues values = named_values_of(command[3]);
     Message message;
     message.id = cometspoke::settings::id_of(command[2]);
-    message.message_class = value("c");
+    message.message_class = required(values.message_class, "c");
     const std::size_t index = index_of(config.names.classes, message.message_class, "class");
     if (!config.names.tenants.empty()) {
-        message.tenant = value("t");
+        message.tenant = required(values.tenant, "t");
         index_of(config.names.tenants, message.tenant, "tenant");
     }
     const bool keyed = config.settings.classes[index].effect == cometspoke::Effect::Dedup;
-    if (keyed || pairs.contains("k")) message.key = value("k");
+    if (keyed || values.key) message.key = required(values.key, "k");
     check_key(message.key);
-    message.destination = number_of<std::int64_t>(value("dest"), "dest");
-    const auto left_ms = number_of<double>(value("d"), "d");
+    message.destination = number_of<std::int64_t>(required(values.destination, "dest"), "dest");
+    const auto left_ms = number_of<double>(required(values.left, "d"), "d");
     if (!(left_ms >= 0 && left_ms <= kLongestMs)) throw BadInput("bad number for d");
     // no message of the class may be delivered for longer, whatever its client says
     left = std::min(cometspoke::settings::from_ms(left_ms), config.settings.classes[index].deadline);
