Module: a fragile message goes as a trial to an endpoint that failed, after a pause

Cause: the share of failures that keeps fragile messages away falls by successes alone, and where no other class goes there is no call that could succeed. The same behind an outage.

Change: with no call and no outcome for 0.25 s (4 s while unhealthy) one goes as a trial, within the recovery budget, with no other call out. A timer wakes it. The reference module of SameDecisions has the rule, too.

--- a/src/policy/mclock_tags.hpp
+++ b/src/policy/mclock_tags.hpp
@@ -96,11 +96,13 @@
         Time next = destination.spillover_tag > now ? destination.spillover_tag : kNever;
         if (settings_.floor_per_s > 0 && destination.reservation_tag > now)
             next = destination.reservation_tag;
+        const bool fragile = holds_fragile(destination);
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             const Route& route = route_of(endpoint);
             for (const Time due : {route.limit_tag, route.wait_until,
-                     endpoint.health != Health::Healthy ? endpoint.recovery_tag : now})
+                     endpoint.health != Health::Healthy ? endpoint.recovery_tag : now,
+                     fragile && fails_too_often(endpoint) ? fragile_trial_at(endpoint) : now})
                 if (due > now) next = std::min(next, due);
         }
         return next;
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -119,7 +119,7 @@
         std::vector<MessageId> batch;
         destination.ready.for_each([&](MessageId id) {
             const Message& message = messages_.at(id);
-            if (batch.size() < free && can_send(id, message, now) && is_allowed_at(message, to))
+            if (batch.size() < free && can_send(id, message, now) && is_allowed_at(message, to, now))
                 batch.push_back(id);
             return batch.size() < free;
         });
@@ -194,7 +194,7 @@
         std::optional<EndpointId> best;
         std::pair<double, std::uint64_t> least;
         for (const EndpointId id : available) {
-            if (!is_allowed_at(message, id)) continue;
+            if (!is_allowed_at(message, id, now)) continue;
             const std::pair cost(endpoint_cost(endpoints_.at(id), now), tie_break_rank(id));
             if (!best || cost < least) best = id, least = cost;
         }
@@ -224,17 +224,15 @@
         if (endpoint.condition != Condition::Ready || route_of(endpoint).wait_until > now) return false;
         return endpoint.health == Health::Healthy || endpoint.recovery_tag <= now;
     }
-    // Whether the message may go to the endpoint at all: its route must allow it, a fragile message keeps
-    // away from endpoints that fail, and a repeat of a dedup message stays within the scope in which the
-    // endpoints drop repeats.
-    bool is_allowed_at(const Message& message, EndpointId to) const {
+    // Whether the message may go to the endpoint: its route must allow it, a fragile message keeps away from
+    // endpoints that fail (takes_fragile), and a repeat of a dedup message stays within the scope in which
+    // the endpoints drop repeats.
+    bool is_allowed_at(const Message& message, EndpointId to, Time now) const {
         const ClassSettings& message_class = settings_.classes[message.message_class];
         const Endpoint& endpoint = endpoints_.at(to);
         if (message.route - 1 < route_endpoints_.size() && !route_endpoints_[message.route - 1].contains(to))
             return false;
-        if (message_class.effect == Effect::Fragile &&
-            (endpoint.failure_rate > kMaxFragileFailureShare || endpoint.health == Health::Unhealthy))
-            return false;
+        if (message_class.effect == Effect::Fragile && !takes_fragile(endpoint, now)) return false;
         if (message_class.effect != Effect::Dedup || !message.doubt_since ||
             message_class.dedup_scope == DedupScope::All)
             return true;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -80,6 +80,9 @@
 // Seven unreadable answers in a row make an outage; one in ten among good ones never does.
 constexpr double kUnreadableSmoothing = 0.1;
 constexpr double kMaxFragileFailureShare = 0.2;  // fragile messages wait while more calls than this fail
+// Then one of them goes as a trial so long after the latest call or outcome; at an endpoint that is unhealthy
+// it is likely to be lost.
+constexpr Time kFragileTrialPause{250'000}, kFragileOutageTrialPause{4'000'000};
 constexpr int kOutageRefusals = 3;  // refusals in a row without a success: an outage, not a rate limit
 
 // ---- recovery of endpoints ----
@@ -248,6 +251,25 @@
         return std::any_of(destination.endpoints.begin(), destination.endpoints.end(),
             [this](EndpointId id) { return endpoints_.at(id).health != Health::Healthy; });
     }
+    // Whether a fragile message may go to the endpoint: hardly any calls fail there, or it has not been heard
+    // of for a while. Where no messages of other classes go, nothing but such a trial shows that it is well.
+    bool takes_fragile(const Endpoint& endpoint, Time now) const {
+        return !fails_too_often(endpoint) || (endpoint.in_flight == 0 && fragile_trial_at(endpoint) <= now);
+    }
+    static bool fails_too_often(const Endpoint& endpoint) {
+        return endpoint.failure_rate > kMaxFragileFailureShare || endpoint.health == Health::Unhealthy;
+    }
+    static Time fragile_trial_at(const Endpoint& endpoint) {
+        const Time latest = std::max(endpoint.last_call_at, endpoint.last_outcome_at);
+        return latest +
+               (endpoint.health == Health::Unhealthy ? kFragileOutageTrialPause : kFragileTrialPause);
+    }
+    bool holds_fragile(const Destination& destination) const {
+        return std::any_of(
+            destination.held_by_class.begin(), destination.held_by_class.end(), [this](const auto& held) {
+                return held.second > 0 && settings_.classes[held.first].effect == Effect::Fragile;
+            });
+    }
     // Messages per second that the destination is expected to take.
     double drain_rate(const Destination& destination) const {
         return std::max(kMinDrainRate, destination.served_rate);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <stdexcept>
 
@@ -547,6 +548,77 @@
     }
 }
 
+/// Plays one destination whose only messages are fragile, one each 100 ms, and answers its calls by `outcome`
+/// at once. Returns the times of the calls.
+std::vector<Time> play_fragile_only(Time span, const std::function<Outcome(Time)>& outcome) {
+    SenderHarness harness;
+    harness.list_endpoint(0, 1);
+    std::vector<Time> calls;
+    std::map<MessageId, std::uint32_t> attempts;
+    const Time begun = harness.now;
+    MessageId next = 1;
+    for (int step = 0; harness.now - begun < span; harness.now += ms(10), ++step) {
+        if (step % 10 == 0) harness.arrive(next++, 1, kFragile);
+        for (const Send& send : harness.decide_sends()) {
+            calls.push_back(harness.now - begun);
+            harness.report_outcome(
+                send, outcome(harness.now - begun), attempts[send.message]++, Time(0), ms(10));
+        }
+    }
+    return calls;
+}
+
+// Review, case 7: behind one failed call an endpoint got no fragile message any more, and where no other
+// class goes to it, no call at all, for good.
+TEST(Health, OneFailedCallDoesNotEndFragileMessages) {
+    const auto calls = play_fragile_only(ms(10'000),
+        [count = 0](Time) mutable { return ++count == 20 ? Outcome::ServerError : Outcome::Served; });
+    EXPECT_GE(calls.size(), 90u);
+}
+
+// The same behind an outage. While it lasts a fragile message is lost with each trial: there are few of them.
+TEST(Health, AnOutageDoesNotEndFragileMessages) {
+    constexpr Time kFrom = ms(2000), kUntil = ms(11'000);
+    for (const Outcome failure : {Outcome::ServerError, Outcome::NoConnection, Outcome::ConnectionLost}) {
+        const auto calls = play_fragile_only(
+            ms(40'000), [&](Time now) { return now >= kFrom && now < kUntil ? failure : Outcome::Served; });
+        const auto between = [&](Time from, Time until) {
+            return std::count_if(
+                calls.begin(), calls.end(), [&](Time call) { return call >= from && call < until; });
+        };
+        EXPECT_LE(between(kFrom + ms(2000), kUntil), 3) << static_cast<int>(failure);
+        EXPECT_GE(between(kUntil + ms(5000), ms(40'000)), 100) << static_cast<int>(failure);
+    }
+}
+
+// A held fragile message is woken for its trial, though nothing else happens.
+TEST(Health, AFragileMessageIsWokenForItsTrial) {
+    SenderHarness harness;
+    harness.list_endpoint(0, 1);
+    Time timer = harness.now;  // of the module
+    const auto decide = [&] {
+        const auto actions = harness.decide();
+        for (const SetTimer& set : actions_of<SetTimer>(actions)) timer = harness.now + set.delay;
+        return actions_of<Send>(actions);
+    };
+    for (MessageId id = 1; id <= 3; ++id) {  // it is well but for the last call
+        harness.arrive(id, 1, kFragile);
+        const auto sent = decide();
+        ASSERT_EQ(sent.size(), 1u);
+        harness.now += ms(10);
+        harness.report_outcome(sent[0], id < 3 ? Outcome::Served : Outcome::ServerError);
+    }
+    harness.arrive(4, 1, kFragile);
+    const Time failed_at = harness.now;
+    std::vector<Send> trial = decide();
+    for (int turn = 0; trial.empty() && turn < 20; ++turn) {  // it decides at its own timers alone
+        harness.now = timer;
+        trial = decide();
+    }
+    EXPECT_EQ(trial.size(), 1u);
+    EXPECT_LE(harness.now - failed_at, ms(500));
+}
+
 // Incident i94fd2c: refusals of calls that were sent together count as one refusal, not as an outage.
 TEST(Health, RefusalsOfConcurrentCallsCountOnce) {
     SenderHarness harness;
--- a/tests/reference/logic_before.cpp
+++ b/tests/reference/logic_before.cpp
@@ -50,8 +50,9 @@
 constexpr double kSpoiltBlend =
     0.1;                             // a spoilt answer: seven in a row trip, one in ten among good ones never
 constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
-constexpr int kShutRefusals = 3;     // refusals in a row with no success between: shut, not above a limit
-constexpr double kBudgetUse = 0.9;   // part of the fall-back budget used; limits lie below the capacity
+constexpr Time kFragileTrialPause{250'000}, kFragileOutageTrialPause{4'000'000};  // then one goes as a trial
+constexpr int kShutRefusals = 3;        // refusals in a row with no success between: shut, not above a limit
+constexpr double kBudgetUse = 0.9;      // part of the fall-back budget used; limits lie below the capacity
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
 constexpr double kLeastTrials = 3.0;      // all senders together try so often in a fall-back window, at least
@@ -457,7 +458,7 @@
         for (const auto& [arrival, id] : destination.held) {
             if (calls_.at(call_id).out >= most) return;
             const Message& message = messages_.at(id);
-            if (ready(id, message, now) && may_go(message, to)) send(id, to, call_id, now);
+            if (ready(id, message, now) && may_go(message, to, now)) send(id, to, call_id, now);
         }
     }
 
@@ -519,7 +520,7 @@
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             if (limited && route_of(endpoint).limit_tag > now) continue;
-            if (!open(id, now) || !may_go(message, id)) continue;
+            if (!open(id, now) || !may_go(message, id, now)) continue;
             const std::pair cost(cost_of(endpoint, now), lockgw::splitmix64(own_ ^ lockgw::splitmix64(id)));
             if (!best || cost < least) best = id, least = cost;
         }
@@ -542,12 +543,20 @@
         return endpoint.health == Health::Well || endpoint.cold_tag <= now;
     }
 
+    static bool fails_too_often(const Endpoint& endpoint) {
+        return endpoint.failing > kFragileBar || endpoint.health == Health::Sick;
+    }
+    static Time fragile_trial_at(const Endpoint& endpoint) {
+        return std::max(endpoint.used, endpoint.heard) +
+               (endpoint.health == Health::Sick ? kFragileOutageTrialPause : kFragileTrialPause);
+    }
+
     // Fragile messages keep away from endpoints that fail; dedup resends keep to the scope of the first.
-    bool may_go(const Message& message, EndpointId to) const {
+    bool may_go(const Message& message, EndpointId to, Time now) const {
         const ClassSettings& kind = settings_.classes[message.message_class];
         const Endpoint& endpoint = endpoints_.at(to);
-        if (kind.effect == Effect::Fragile &&
-            (endpoint.failing > kFragileBar || endpoint.health == Health::Sick))
+        if (kind.effect == Effect::Fragile && fails_too_often(endpoint) &&
+            (endpoint.in_flight > 0 || fragile_trial_at(endpoint) > now))
             return false;
         if (kind.effect != Effect::Dedup || !message.doubt_since || kind.dedup_scope == DedupScope::All)
             return true;
@@ -999,11 +1008,16 @@
         Time next = kNever;
         if (settings_.floor_per_s > 0 && destination.reservation_tag > now)
             next = destination.reservation_tag;
+        const bool fragile =
+            std::any_of(destination.held.begin(), destination.held.end(), [this](const auto& held) {
+                return settings_.classes[messages_.at(held.second).message_class].effect == Effect::Fragile;
+            });
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             const Route& route = route_of(endpoint);
-            for (const Time due : {route.limit_tag, route.wait_until,
-                     endpoint.health != Health::Well ? endpoint.cold_tag : now})
+            for (const Time due :
+                {route.limit_tag, route.wait_until, endpoint.health != Health::Well ? endpoint.cold_tag : now,
+                    fragile && fails_too_often(endpoint) ? fragile_trial_at(endpoint) : now})
                 if (due > now) next = std::min(next, due);
         }
         return next;
