Clients: what lies unread when a process hands over or ends is refused, not reset

The piece lay unread in the kernel when the time was up, for turns of the loop are long there; the close over it resets.

Change: in the call that hands over or ends, each connection that is not being written to is read once more, what has come is refused and its sending is ended.

That test no longer discards plays with a turn of its own of 15 to 30 ms, so it asks for more than before.

--- a/src/core/forwarder.cpp
+++ b/src/core/forwarder.cpp
@@ -555,6 +555,7 @@
 }
 
 void Forwarder::stop() {
+    frontend_->refuse_unread();
     recovery_.save_snapshot();
     const auto longest = std::chrono::duration_cast<std::chrono::microseconds>(longest_turn_);
     log::info("core", "ends", {{"longest_turn_us", longest.count()}});
--- a/src/core/forwarder_handover_orders_reload.cpp
+++ b/src/core/forwarder_handover_orders_reload.cpp
@@ -45,6 +45,7 @@
     if (step == Step::LetGo) frontend_->drain();
     if (step == Step::StopReading) frontend_->stop_reading();
     if (step == Step::HandOver) {
+        frontend_->refuse_unread();
         journal_.keep_turn();
         save_removed_targets();
         write_hand_over_state();
--- a/src/core/frontend.hpp
+++ b/src/core/frontend.hpp
@@ -67,6 +67,9 @@
     /// each connection is closed after that. For the last moments of a process: a request that was read and
     /// never answered is lost to its client, while one that was not read is submitted to another forwarder.
     virtual void stop_reading() = 0;
+    /// Reads and refuses, within this call, requests that have come and were not read. For the very last
+    /// moment: a close over unread bytes would reset their connections.
+    virtual void refuse_unread() = 0;
     /// Whether a request that was read has no reply yet, or its reply is not fully written.
     virtual bool has_pending_replies() const = 0;
     /// Whether no client is connected, except those that only have to close their side.
--- a/src/fronts/resp2/clients.cpp
+++ b/src/fronts/resp2/clients.cpp
@@ -454,6 +454,12 @@
     }
 }
 
+void Clients::refuse_unread() {
+    std::vector<Session> all;
+    for (const auto& [ticket, session] : sessions_) all.push_back(session);
+    for (const Session& session : all) session->refuse_unread();
+}
+
 std::string Clients::refusal() {
     ++counters_.refused;
     return busy(kOutWait);
--- a/src/fronts/resp2/clients.hpp
+++ b/src/fronts/resp2/clients.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "admission/door.hpp"
 #include "admission/fair_queue.hpp"
@@ -48,6 +49,7 @@
     void hand_over_clients(const admission::HandOver& plan) override;
     void drain() override;
     void stop_reading() override;
+    void refuse_unread() override;
     bool has_pending_replies() const override;
     void set_in_service(bool in_service) override;
     bool empty() const override {
--- a/src/fronts/resp2/session.cpp
+++ b/src/fronts/resp2/session.cpp
@@ -180,17 +180,42 @@
     end_behind(resp::error(std::string("ERR ") + bad.what()));
 }
 
-/// Answers all commands that have come whole, or waits for the next.
-void ClientSession::refuse_next() {
-    std::string refusals;
+void ClientSession::refuse_unread() {
+    if (closed_ || asking_ || phase_ == Phase::Ended || !unread()) return;
+    if (phase_ == Phase::Open) leave(Phase::Refusing);
+    boost::system::error_code failed;
+    std::string text;
+    for (std::size_t read = 0; phase_ == Phase::Refusing && read < kMostDiscarded;) {
+        const std::size_t count = socket_.read_some(asio::buffer(owner_.in_), failed);
+        if (failed) break;
+        read += count;
+        parser_.feed({owner_.in_.data(), count});
+        text += refusals();
+    }
+    socket_.write_some(asio::buffer(text), failed);  // the end comes next: what does not fit now never will
+    if (phase_ == Phase::Refusing) leave(Phase::Ended);
+    socket_.shutdown(Tcp::socket::shutdown_send, failed);
+}
+
+/// Of all commands that have come whole.
+std::string ClientSession::refusals() {
+    std::string text;
     try {
         while (parser_.next())
-            if (!std::exchange(answered_early_, false)) refusals += owner_.refusal();
+            if (!std::exchange(answered_early_, false)) text += owner_.refusal();
     } catch (const resp::Unreadable& bad) {
-        return end_behind(refusals + resp::error(std::string("ERR ") + bad.what()));
+        text += resp::error(std::string("ERR ") + bad.what());
+        leave(Phase::Ended);
     }
+    return text;
+}
+
+/// Answers all commands that have come whole, or waits for the next.
+void ClientSession::refuse_next() {
+    std::string text = refusals();
+    if (phase_ == Phase::Ended) return write(std::move(text));
     count_buffered();
-    if (!refusals.empty()) return write(std::move(refusals));
+    if (!text.empty()) return write(std::move(text));
     if (linger()) return await();
     leave(Phase::Ended);
     finish();
--- a/src/fronts/resp2/session.hpp
+++ b/src/fronts/resp2/session.hpp
@@ -39,6 +39,9 @@
     void turn_away(std::string answer);
     /// The same where there is no such command.
     void refuse_further();
+    /// Of what has come and was not read each command is refused, within this call. Not while an answer is
+    /// being written.
+    void refuse_unread();
     /// Between requests, without an answer: ends this side's sending at once (a half-close). What the client
     /// sends from then on is read and dropped until it has closed, too; nothing of it is taken on.
     void end_sending();
@@ -67,6 +70,7 @@
     void take();
     void next();
     void refuse_next();
+    std::string refusals();
     void count_buffered();
     void write(std::string text);
     void written();
--- a/tests/batch_end_test.cpp
+++ b/tests/batch_end_test.cpp
@@ -154,7 +154,6 @@
 class HandOverBatchEnd : public BatchEnd {
 protected:
     void play_hand_over() {
-        longest_turn = 15ms;  // there are 50 ms for the answers
         play([&] {
             start_with_nobody_to_deliver_to();
             connect_batches();
@@ -190,6 +189,37 @@
 // The same as SIGTERM's where another process takes over.
 TEST_F(SmallHandOverBatchEnd, IsAnsweredWhereAnotherProcessTakesOver) { play_hand_over(); }
 
+// What came between the last reading and the hand-over itself was neither read nor refused, and the close
+// reset its connection. A command is sent right before each step of the hand-over, within its turn of the
+// loop.
+TEST_F(BatchEnd, IsRefusedInTheVeryMomentOfAHandOver) {
+    std::unique_ptr<PlainClient> client;
+    std::size_t sent = 0;
+    play([&] {
+        start_with_nobody_to_deliver_to();
+        client = std::make_unique<PlainClient>(address);
+        client->send_without_delay();
+        sent = 0;
+        bool wanted = false, on_time = true;
+        auto sent_at = Clock::now();
+        const auto asks = [&] {
+            if (wanted) client->send(batch(1)), ++sent;
+            const auto now = Clock::now();
+            if (sent > 1 && now - sent_at > longest_turn) on_time = false;
+            sent_at = now;
+            return wanted;
+        };
+        forwarder->enable_hand_over(asks, [&] { io.stop(); });
+        EXPECT_TRUE(run_until([&, until = Clock::now() + 50ms] { return Clock::now() > until; }));
+        wanted = true;
+        EXPECT_TRUE(run_until([&] { return io.stopped(); }));
+        return on_time;
+    });
+    EXPECT_FALSE(client->was_reset());
+    const std::string answers = client->rest();
+    EXPECT_EQ(static_cast<std::size_t>(std::count(answers.begin(), answers.end(), '\n')), sent);
+}
+
 // Half a command whose rest does not come in time is refused; what came behind it was dropped.
 TEST_F(BatchEnd, IsAnsweredBehindHalfACommandThatWasRefused) {
     json["settings"]["n_instances"] = 2;
