--- a/rig/directory.cpp
+++ b/rig/directory.cpp
@@ -98,6 +98,15 @@
     post_faults_.clear();
 }
 
+void Directory::pace(const Pace& pace) {
+    const std::lock_guard lock(mutex_);
+    pace_ = pace;
+}
+std::size_t Directory::paced_bytes() const {
+    const std::lock_guard lock(mutex_);
+    return paced_bytes_;
+}
+
 std::optional<Clock::time_point> Directory::stop_told(const std::string& id) const {
     const std::lock_guard lock(mutex_);
     const auto found = stops_.find(id);
@@ -211,7 +220,7 @@
     for (const Held& one : due) reply(one.peer, one.from);
 }
 
-std::string Directory::body_of(std::optional<std::int64_t> from) const {
+Json Directory::list_of(std::optional<std::int64_t> from) const {
     const bool changes = from && *from >= oldest_ && *from <= revision_;
     Json members = Json::array();
     std::set<std::string> named;
@@ -219,27 +228,57 @@
         if (changes && version.revision > *from) named.insert(version.id);
     for (const auto& [id, member] : members_)
         if (changes ? named.contains(id) : member.at("phase") != "terminated") members.push_back(member);
-    return Json{{"revision", revision_}, {"complete", !changes}, {"members", members}}.dump();
+    return Json{{"revision", revision_}, {"complete", !changes}, {"members", members}};
 }
 
 void Directory::reply(const std::shared_ptr<Peer>& peer, std::optional<std::int64_t> from) {
     ListFault fault;
-    std::string body;
+    Json list;
+    std::optional<Pace> pace;
     {
         const std::lock_guard lock(mutex_);
-        body = body_of(from);
+        list = list_of(from);
+        pace = pace_;
         if (!faults_.empty()) {
             fault = faults_.front();
             faults_.pop_front();
         }
     }
+    const std::string body = list.dump();
     if (fault.kind != Kind::None) return misbehave(peer, fault, body);
+    if (pace) {
+        const std::string whole = answer(200, body);
+        const std::string head = whole.substr(0, whole.size() - body.size());
+        return write_paced(peer, std::make_shared<PacedAnswer>(*pace, head, body, list, Clock::now()));
+    }
     peer->write(answer(200, body), [this, peer, body](Clock::time_point when) {
         wrote(body, body.size(), when);
         peer->read();
     });
 }
 
+void Directory::write_paced(const std::shared_ptr<Peer>& peer, const std::shared_ptr<PacedAnswer>& answer) {
+    const auto now = Clock::now();
+    const auto pause = std::max(answer->next_due(link_, now) - now, Clock::duration::zero());
+    if (pause == Clock::duration::zero()) return write_next_piece(peer, answer);
+    peer->after(std::chrono::ceil<std::chrono::milliseconds>(pause),
+        [this, peer, answer] { write_next_piece(peer, answer); });
+}
+void Directory::write_next_piece(
+    const std::shared_ptr<Peer>& peer, const std::shared_ptr<PacedAnswer>& answer) {
+    std::string piece = answer->next_piece();
+    const std::size_t size = piece.size();
+    peer->write(std::move(piece), [this, peer, answer, size](Clock::time_point when) {
+        {
+            const std::lock_guard lock(mutex_);
+            paced_bytes_ += size;
+            for (const std::string& id : answer->stops_written()) stops_.emplace(id, when);
+            changed_.notify_all();
+        }
+        answer->done() ? peer->read() : write_paced(peer, answer);
+    });
+}
+
 void Directory::misbehave(
     const std::shared_ptr<Peer>& peer, const ListFault& fault, const std::string& body) {
     const std::string whole = answer(200, body);
--- a/rig/directory.hpp
+++ b/rig/directory.hpp
@@ -10,11 +10,13 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "rig/http.hpp"
+#include "rig/paced_answer.hpp"
 
 namespace lockgw::rig {
 
@@ -66,6 +68,10 @@
     void fault(const ListFault& fault);
     void post_fault(PostFault fault, std::size_t times = 1);
     void clear_faults();
+    /// How answers without a fault are written from now on.
+    void pace(const Pace& pace);
+    /// Bytes of the answers that were written at a pace.
+    std::size_t paced_bytes() const;
 
     /// When an entry that stops this target was first written whole; none if it was not.
     std::optional<Clock::time_point> stop_told(const std::string& id) const;
@@ -99,9 +105,11 @@
     void take_notices(const std::shared_ptr<Peer>& peer, const std::string& body);
     void answer_held();
     void reply(const std::shared_ptr<Peer>& peer, std::optional<std::int64_t> from);
+    void write_paced(const std::shared_ptr<Peer>& peer, const std::shared_ptr<PacedAnswer>& answer);
+    void write_next_piece(const std::shared_ptr<Peer>& peer, const std::shared_ptr<PacedAnswer>& answer);
     void misbehave(const std::shared_ptr<Peer>& peer, const ListFault& fault, const std::string& body);
     void wrote(const std::string& body, std::size_t bytes, Clock::time_point when);
-    std::string body_of(std::optional<std::int64_t> from) const;
+    Json list_of(std::optional<std::int64_t> from) const;
 
     boost::asio::io_context io_;
     Server server_;
@@ -111,6 +119,9 @@
     std::vector<Version> versions_;
     std::int64_t revision_ = 1, oldest_ = 1;
     std::deque<ListFault> faults_;
+    std::optional<Pace> pace_;
+    Link link_;
+    std::size_t paced_bytes_ = 0;
     std::deque<PostFault> post_faults_;
     std::size_t posts_ = 0;
     std::vector<Held> held_;
--- a/src/discovery/agent_connection.cpp
+++ b/src/discovery/agent_connection.cpp
@@ -14,10 +14,11 @@
 
 }  // namespace
 
-void AgentConnection::send_request(
-    http::verb verb, const std::string& path, std::string body, OnPhase on_phase, OnAnswer on_answer) {
+void AgentConnection::send_request(http::verb verb, const std::string& path, std::string body,
+    OnPhase on_phase, OnProgress on_progress, OnAnswer on_answer) {
     ++generation_;
     on_phase_ = std::move(on_phase);
+    on_progress_ = std::move(on_progress);
     on_answer_ = std::move(on_answer);
     request_ = {verb, path, 11, std::move(body)};
     request_.set(http::field::host, "discovery");
@@ -60,7 +61,10 @@
         parser_->body_limit(max_bytes_);
         return read();
     }
-    if (!std::exchange(answer_started_, true)) on_phase_(PollSchedule::Phase::Reading);
+    if (std::exchange(answer_started_, true))
+        on_progress_();
+    else
+        on_phase_(PollSchedule::Phase::Reading);
     read();
 }
 
@@ -96,6 +100,7 @@
     ++generation_;
     on_answer_ = nullptr;
     on_phase_ = nullptr;
+    on_progress_ = nullptr;
     close();
     return partial_answer_with(answer_started_ ? "incomplete answer" : "no answer");
 }
--- a/src/discovery/agent_connection.hpp
+++ b/src/discovery/agent_connection.hpp
@@ -33,6 +33,7 @@
         bool status_ok = false;  ///< the status line said 200, also if the answer was cut off after it
     };
     using OnPhase = std::function<void(PollSchedule::Phase)>;
+    using OnProgress = std::function<void()>;
     using OnAnswer = std::function<void(Answer)>;
 
     /// `spare` must outlive the connection. Its descriptor is released when the process has none left to
@@ -42,10 +43,10 @@
         : address_(address), socket_(io), spare_(spare), max_bytes_(max_bytes) {}
 
     /// Connects and sends the request; called once. `on_phase` is called when the request enters a new
-    /// phase. `on_answer` is called exactly once unless the request is cancelled, and never from within this
-    /// call.
+    /// phase, `on_progress` when more of its answer was received in the phase Reading. `on_answer` is called
+    /// exactly once unless the request is cancelled, and never from within this call.
     void send_request(boost::beast::http::verb verb, const std::string& path, std::string body,
-        OnPhase on_phase, OnAnswer on_answer);
+        OnPhase on_phase, OnProgress on_progress, OnAnswer on_answer);
     /// Aborts the current request and closes the connection; no handler is called afterwards. Returns the
     /// part of the answer that was received.
     Answer cancel();
@@ -79,6 +80,7 @@
     boost::beast::http::request<boost::beast::http::string_body> request_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     OnPhase on_phase_;
+    OnProgress on_progress_;
     OnAnswer on_answer_;
 };
 
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -37,6 +37,8 @@
 // With at least this many forwarders the configured list is assumed to be the agent's own at its revision,
 // and only changes are requested: an agent cannot serve a full list to each of them at one moment.
 constexpr std::size_t kManyForwarders = 16;
+// A slow answer (a busy agent, a narrow link, a long list) is received to its end.
+constexpr PollSchedule::Duration kMaxPause = 2000ms, kSlowReadTimeout = 10'000ms;
 constexpr std::size_t kMaxStatusesPerPost = 256;
 constexpr auto kFailureLogInterval = 5s;                   // between log lines on consecutive failures
 constexpr auto kSlowListThreshold = 20ms;                  // applying a list for longer is logged
@@ -58,6 +60,8 @@
     const auto count = static_cast<PollSchedule::Duration::rep>(forwarder_count);
     limits.hold = std::clamp<PollSchedule::Duration>(kHoldPerForwarder * count, kMinHold, kMaxHold);
     limits.max_overload_delay = kMaxOverloadDelay;
+    limits.max_pause = kMaxPause;
+    limits.slow_read_timeout = kSlowReadTimeout;
     if (forwarder_count >= kManyForwarders)
         limits.first_overload_delay =
             std::min<PollSchedule::Duration>(kOverloadInterval * count, kMaxOverloadDelay);
@@ -157,7 +161,7 @@
 
 Poller::Request DiscoveryClient::make_list_request(std::uint64_t request) {
     const TargetView::ListRequest list_request{view_.agent_epoch(), view_.poll_from_revision(), Clock::now()};
-    list_requests_.insert_or_assign(request, list_request);
+    list_requests_.insert_or_assign(request, ListRequest{list_request, {}});
     if (!list_request.from_revision)
         return {http::verb::get, "/v1/servers", "", std::min(hold_, kFullListWait)};
     const std::string from = std::to_string(*list_request.from_revision),
@@ -167,43 +171,45 @@
 
 Poller::Verdict DiscoveryClient::on_list_answer(
     std::uint64_t request, const AgentConnection::Answer& answer) {
-    const TargetView::ListRequest list_request = list_requests_.extract(request).mapped();
+    const ListRequest list_request = list_requests_.extract(request).mapped();
     if (answer.body.size() >= kBackgroundParseBytes && parse_in_background(request, list_request, answer))
         return Poller::Verdict::Pending;
-    if (apply_answer(list_request, parse_answer(answer))) return Poller::Verdict::Accepted;
+    const ParsedAnswer parsed = parse_answer(answer, list_request.stopping_entries);
+    if (apply_answer(list_request.request, parsed)) return Poller::Verdict::Accepted;
     return overloaded(answer) ? Poller::Verdict::Overloaded : Poller::Verdict::Rejected;
 }
 
 /// Returns false if the worker has no capacity; the answer is then parsed by the caller.
-bool DiscoveryClient::parse_in_background(std::uint64_t request, const TargetView::ListRequest& list_request,
-    const AgentConnection::Answer& answer) {
-    const auto job = [answer] {
-        ParsedAnswer parsed = parse_answer(answer);
+bool DiscoveryClient::parse_in_background(
+    std::uint64_t request, const ListRequest& list_request, const AgentConnection::Answer& answer) {
+    const auto job = [answer, stopping_entries = list_request.stopping_entries] {
+        ParsedAnswer parsed = parse_answer(answer, stopping_entries);
         if (parsed.list && parsed.list->complete) sort_stops_first(*parsed.list);
         return parsed;
     };
-    return worker_.run(job, [this, request, list_request](Worker::Came<ParsedAnswer> result) {
-        bool accepted = false;
-        try {
-            ParsedAnswer parsed = result.take();
-            if (parsed.list && parsed.list->complete) {
-                finish_batches();
-                const TargetView::Update update =
-                    view_.begin_batches(list_request, std::move(*parsed.list), Clock::now());
-                publish(update);
-                longest_batch_ = {};
-                batch_failed_ = false;
-                if (view_.batches_pending()) return apply_next_batch(request);
-                record_result(update.accepted, parsed.error);
-                accepted = update.accepted;
-            } else {
-                accepted = apply_answer(list_request, parsed);
+    return worker_.run(
+        job, [this, request, list_request = list_request.request](Worker::Came<ParsedAnswer> result) {
+            bool accepted = false;
+            try {
+                ParsedAnswer parsed = result.take();
+                if (parsed.list && parsed.list->complete) {
+                    finish_batches();
+                    const TargetView::Update update =
+                        view_.begin_batches(list_request, std::move(*parsed.list), Clock::now());
+                    publish(update);
+                    longest_batch_ = {};
+                    batch_failed_ = false;
+                    if (view_.batches_pending()) return apply_next_batch(request);
+                    record_result(update.accepted, parsed.error);
+                    accepted = update.accepted;
+                } else {
+                    accepted = apply_answer(list_request, parsed);
+                }
+            } catch (const std::exception& fault) {
+                log::error("discovery", "applying a long list failed", {{"why", fault.what()}});
             }
-        } catch (const std::exception& fault) {
-            log::error("discovery", "applying a long list failed", {{"why", fault.what()}});
-        }
-        list_poller_.finish_processing(request, accepted);
-    });
+            list_poller_.finish_processing(request, accepted);
+        });
 }
 
 /// Applies the next batch of a long list. Other work of the event loop runs between two batches.
@@ -233,7 +239,8 @@
     while (view_.batches_pending()) publish_next_batch();
 }
 
-DiscoveryClient::ParsedAnswer DiscoveryClient::parse_answer(const AgentConnection::Answer& answer) {
+DiscoveryClient::ParsedAnswer DiscoveryClient::parse_answer(
+    const AgentConnection::Answer& answer, StoppingEntriesReader stopping_entries) {
     ParsedAnswer parsed;
     if (answer.status == 200) try {
             parsed.list = parse_target_list(Json::parse(answer.body));
@@ -244,7 +251,7 @@
     else
         parsed.error = answer.status == 0 ? "no list: " + answer.error
                                           : "no list: status " + std::to_string(answer.status);
-    if (answer.status_ok) parsed.stopping_entries = parse_stopping_entries(answer.body);
+    if (answer.status_ok) parsed.stopping_entries = stopping_entries.read(answer.body);
     return parsed;
 }
 
@@ -278,9 +285,10 @@
 /// A drain counts from the moment when its bytes were sent to this forwarder, not from the end of the answer.
 void DiscoveryClient::on_partial_list(std::uint64_t request, const AgentConnection::Answer& answer) {
     finish_batches();
-    if (answer.status_ok)
-        publish(view_.apply_partial_answer(
-            list_requests_.at(request), parse_stopping_entries(answer.body), Clock::now()));
+    if (!answer.status_ok) return;
+    ListRequest& list_request = list_requests_.at(request);
+    publish(view_.apply_partial_answer(
+        list_request.request, list_request.stopping_entries.read(answer.body), Clock::now()));
 }
 
 void DiscoveryClient::publish(const TargetView::Update& update) {
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -78,15 +78,21 @@
         TargetList stopping_entries;     ///< without a list: the drains and departures that could be read
         std::string error;
     };
-    static ParsedAnswer parse_answer(const AgentConnection::Answer& answer);
+    /// A request for the list that is in flight.
+    struct ListRequest {
+        TargetView::ListRequest request;
+        StoppingEntriesReader stopping_entries;  // those that were applied already
+    };
+    static ParsedAnswer parse_answer(
+        const AgentConnection::Answer& answer, StoppingEntriesReader stopping_entries);
     Poller::Verdict on_list_answer(std::uint64_t request, const AgentConnection::Answer& answer);
     bool apply_answer(const TargetView::ListRequest& list_request, const ParsedAnswer& parsed);
     void record_result(bool accepted, const std::string& error);
     void apply_next_batch(std::uint64_t request);
     void publish_next_batch();
     void finish_batches();
-    bool parse_in_background(std::uint64_t request, const TargetView::ListRequest& list_request,
-        const AgentConnection::Answer& answer);
+    bool parse_in_background(
+        std::uint64_t request, const ListRequest& list_request, const AgentConnection::Answer& answer);
     void on_partial_list(std::uint64_t request, const AgentConnection::Answer& answer);
     void publish(const TargetView::Update& update);
     void log_failure(const std::string& error);
@@ -103,7 +109,7 @@
     OnUpdate on_update_;
     OnConfirmed on_confirmed_;
     TargetView view_;
-    std::map<std::uint64_t, TargetView::ListRequest> list_requests_;  // in flight, by request number
+    std::map<std::uint64_t, ListRequest> list_requests_;  // in flight, by request number
     std::map<MessageId, FinalStatus> unconfirmed_;
     std::map<std::uint64_t, std::vector<MessageId>> posted_;  // ids in each post in flight, by request number
     std::size_t consecutive_failures_ = 0;                    // of the list poll
--- a/src/discovery/poll_schedule.hpp
+++ b/src/discovery/poll_schedule.hpp
@@ -2,7 +2,8 @@
 /// and when to cancel one.
 ///
 /// No I/O and no clock: the caller passes the time. Deterministic for a given seed. Not thread-safe. The
-/// caller carries out the steps and reports the progress of each request. At most two requests are in flight.
+/// caller carries out the steps and reports the progress of each request. At most two requests are in flight,
+/// and a third one while an answer is being received.
 ///
 ///   Connecting --connected--> Waiting --first byte--> Reading --finished--> (removed)
 ///                                                        |
@@ -14,7 +15,14 @@
 /// Each phase except Processing has two limits. After the first one the request is overdue: it continues, a
 /// second one is started on a connection of its own, and the part of its answer that was received is
 /// inspected at regular intervals, because it may contain the drain of a target. After the second limit the
-/// request is cancelled.
+/// request is cancelled. When there is no room for a new request, the oldest overdue one is cancelled
+/// earlier.
+///
+/// An answer may be slow: a busy agent, a narrow link, a long list. The oldest one that has begun is received
+/// to its end, which may take up to `slow_read_timeout`, and no newer request takes its place as long as its
+/// pauses are shorter than `max_pause`. An answer that still grows after it is overdue is known to be slow.
+/// The requests beside it follow at growing intervals, since they share the link and the agent's time with
+/// it.
 ///
 /// A failed request is retried at once, and later failures in a row after delays that double up to
 /// `max_retry_delay`. That is well within the 200 ms after which the platform regards the polling as
@@ -42,8 +50,10 @@
     struct Limits {
         Duration hold{0};  ///< how long the agent may hold an answer back (long poll); part of Waiting
         Duration connect_overdue{150}, connect_timeout{600};
-        Duration answer_overdue{200}, answer_timeout{1000};    ///< from request to first byte, beyond hold
-        Duration read_overdue{150}, read_timeout{2000};        ///< from the first byte to the last
+        Duration answer_overdue{200}, answer_timeout{1000};  ///< from request to first byte, beyond hold
+        Duration read_overdue{150}, read_timeout{2000};      ///< from the first byte to the last
+        Duration max_pause{0}, slow_read_timeout{0};         ///< of a slow answer; 0: none is waited for
+        Duration max_parallel_interval{1000};  ///< between the starts of requests beside a slow answer
         Duration first_retry_delay{10}, max_retry_delay{100};  ///< from the second failure in a row on
         Duration first_overload_delay{200}, max_overload_delay{3200};  ///< from the first refusal in a row on
     };
@@ -61,7 +71,7 @@
         std::optional<std::uint64_t> start;  ///< a new request with this number
     };
 
-    static constexpr std::size_t kMaxInFlight = 2;
+    static constexpr std::size_t kMaxInFlight = 2, kMaxInFlightBesideAnswer = 3;
 
     PollSchedule(Limits limits, std::uint64_t seed) : limits_(limits), random_(seed) {}
 
@@ -77,6 +87,8 @@
     void set_hold(std::uint64_t request, Duration hold);
     /// Reports the progress of a request. Numbers of removed requests are ignored.
     void enter_phase(std::uint64_t request, Phase phase, Time now);
+    /// Reports that more of an answer was received; ignored in all phases but Reading.
+    void record_progress(std::uint64_t request, Time now);
     void finish(std::uint64_t request, Result result, Time now);
     /// Removes all requests and forgets failures, for a new agent.
     void reset();
@@ -91,8 +103,19 @@
         Phase phase = Phase::Connecting;
         Time phase_start{};
         Time inspected{};
-        Duration hold{};  // that the request was sent with
+        Duration hold{};       // that the request was sent with
+        Time last_progress{};  // while Reading: when the last part of the answer was received
     };
+    using Requests = std::map<std::uint64_t, Request>;
+    /// Until when more of an answer is expected if none comes; Time::min() if it has not begun.
+    Time may_grow_until(const Request& request) const;
+    /// The same for an answer that is known to be slow; Time::min() for others.
+    Time slow_until(const Request& request) const;
+    bool any_slow(Time now) const;
+    Requests::iterator oldest_growing(Time now);
+    Requests::iterator replaceable(Requests::iterator kept, Time now);
+    void make_room(Time now, Steps& steps);
+    Duration parallel_interval() const;
     Time overdue_time(const Request& request) const;
     Time timeout_time(const Request& request) const;
     Time inspection_time(const Request& request) const;
@@ -102,12 +125,14 @@
 
     Limits limits_;
     std::mt19937_64 random_;
-    std::map<std::uint64_t, Request> in_flight_;
+    Requests in_flight_;
     std::uint64_t next_request_ = 1;
     bool enabled_ = false;
     unsigned consecutive_failures_ = 0;   // includes refusals
     unsigned consecutive_overloads_ = 0;  // refusals since the last success
     Time earliest_start_{};               // set by results and by set_earliest_start()
+    Time last_start_{};
+    unsigned parallel_starts_ = 0;  // beside a slow answer, since the last success
 };
 
 }  // namespace lockgw
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -78,6 +78,7 @@
             schedule_.enter_phase(request, phase, PollSchedule::Clock::now());
             arm_timer();  // the limits differ between phases
         },
+        [this, request] { schedule_.record_progress(request, PollSchedule::Clock::now()); },
         [this, request](const AgentConnection::Answer& answer) { handle_answer(request, answer); });
 }
 
--- a/src/discovery/target_list.cpp
+++ b/src/discovery/target_list.cpp
@@ -95,25 +95,37 @@
         {"up_since_ms", target.up_since_ms}};
 }
 
-TargetList parse_stopping_entries(std::string_view text) {
+TargetList parse_stopping_entries(std::string_view text) { return StoppingEntriesReader().read(text); }
+
+TargetList StoppingEntriesReader::read(std::string_view text) {
     TargetList list;
     text = text.substr(0, kMaxListBytes);
-    std::size_t position = text.find("\"members\"");
-    if (position == std::string_view::npos) return list;
-    position = text.find('[', position);
-    while (position != std::string_view::npos && list.targets.size() + list.invalid.size() < kMaxTargets) {
-        position = text.find('{', position);
-        if (position == std::string_view::npos) break;
-        const std::size_t end = end_of_object(text, position);
+    if (!find_first_entry(text)) return list;
+    while (entries_found_ < kMaxTargets) {
+        const std::size_t start = text.find('{', position_);
+        if (start == std::string_view::npos) break;
+        const std::size_t end = end_of_object(text, start);
         if (end == std::string_view::npos) break;
-        const std::string_view entry = text.substr(position, end - position);
-        position = end;
+        const std::string_view entry = text.substr(start, end - start);
+        position_ = end;
         if (entry.find("\"in_service\"") != std::string_view::npos)
             continue;  // most entries: need not be parsed
         const Json member = Json::parse(entry, nullptr, false);
-        if (!member.is_discarded()) append_entry(member, list);
+        if (member.is_discarded()) continue;
+        append_entry(member, list);
+        ++entries_found_;
     }
     return list;
 }
 
+/// Returns false if the list of entries has not begun yet.
+bool StoppingEntriesReader::find_first_entry(std::string_view text) {
+    if (in_members_) return true;
+    const std::size_t name = text.find("\"members\"");
+    const std::size_t start = name == std::string_view::npos ? name : text.find('[', name);
+    if (start == std::string_view::npos) return false;
+    position_ = start;
+    return in_members_ = true;
+}
+
 }  // namespace lockgw
--- a/src/discovery/target_list.hpp
+++ b/src/discovery/target_list.hpp
@@ -70,4 +70,18 @@
 /// of the result have no meaning. Never throws on malformed input.
 TargetList parse_stopping_entries(std::string_view text);
 
+/// The same for an answer that is still being received. Each entry is returned once.
+class StoppingEntriesReader {
+public:
+    /// The entries that are complete since the last call. `text` is everything received so far.
+    TargetList read(std::string_view text);
+
+private:
+    bool find_first_entry(std::string_view text);
+
+    bool in_members_ = false;
+    std::size_t position_ = 0;       // behind the last complete entry
+    std::size_t entries_found_ = 0;  // with those that cannot be read
+};
+
 }  // namespace lockgw
--- a/tests/poll_schedule_test.cpp
+++ b/tests/poll_schedule_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -264,6 +265,182 @@
     }
 }
 
+// ---- slow answers ----
+
+class SlowAnswerSchedule : public PollScheduleTest {
+protected:
+    SlowAnswerSchedule() {
+        auto slow = limits();
+        slow.max_pause = 2000ms;
+        slow.slow_read_timeout = 10'000ms;
+        schedule.set_limits(slow);
+    }
+    /// Passes `duration` in steps of 10 ms. Each new request starts to receive its answer at once; those in
+    /// flight receive a part of it in each step, except for `silent`.
+    void receive_for(std::chrono::milliseconds duration, const std::set<std::uint64_t>& silent = {}) {
+        for (const auto end = now + duration; now < end;) {
+            const auto steps = after(10ms);
+            for (const auto one : steps.cancel) in_flight.erase(one), cancelled[one] = now;
+            if (steps.start) {
+                schedule.enter_phase(*steps.start, Phase::Reading, now);
+                in_flight.insert(*steps.start);
+                starts.push_back(now);
+            }
+            most_in_flight = std::max(most_in_flight, schedule.in_flight());
+            for (const auto one : in_flight)
+                if (!silent.contains(one)) schedule.record_progress(one, now);
+        }
+    }
+    void finish(std::uint64_t request, Result result) {
+        schedule.finish(request, result, now);
+        in_flight.erase(request);
+    }
+
+    std::set<std::uint64_t> in_flight;
+    std::map<std::uint64_t, PollSchedule::Time> cancelled;
+    std::vector<PollSchedule::Time> starts;
+    std::size_t most_in_flight = 0;
+};
+
+// Issue 61 C: an agent that needs a second for its list was asked again every 150 ms, each answer was given
+// up for the next but one, and no list was ever received.
+TEST_F(SlowAnswerSchedule, ReceivesASlowAnswerToItsEndAndAsksBesideIt) {
+    receive_for(5000ms);
+    EXPECT_FALSE(cancelled.contains(1));
+    EXPECT_FALSE(cancelled.contains(2)) << "the first answer may fail at its end";
+    EXPECT_EQ(most_in_flight, PollSchedule::kMaxInFlightBesideAnswer);
+    EXPECT_LE(starts.size(), 10u);
+    EXPECT_GE(starts.size(), 6u) << "a newer answer may be quicker";
+    for (std::size_t i = 1; i < starts.size(); ++i) EXPECT_LE(starts[i] - starts[i - 1], 1010ms);
+    finish(1, Result::Succeeded);
+    EXPECT_EQ(schedule.consecutive_failures(), 0u);
+}
+
+TEST_F(SlowAnswerSchedule, AnAnswerThatNeverEndsIsCancelledAtItsLimit) {
+    receive_for(11s);
+    ASSERT_TRUE(cancelled.contains(1));
+    EXPECT_GE(cancelled.at(1) - starts.front(), 10s);
+    EXPECT_LE(cancelled.at(1) - starts.front(), 10'020ms);
+    EXPECT_LE(starts.size(), 16u);
+}
+
+TEST_F(SlowAnswerSchedule, AnAnswerThatStopsGrowingIsLost) {
+    receive_for(3000ms);
+    receive_for(2100ms, {1});
+    ASSERT_TRUE(cancelled.contains(1));
+    EXPECT_GE(cancelled.at(1) - starts.front(), 4900ms) << "its pause may be as long as max_pause";
+}
+
+// An answer that stopped makes room for another request as soon as it is overdue, and the slow one is kept.
+TEST_F(SlowAnswerSchedule, AnswersThatStopMakeRoomBesideASlowOne) {
+    std::set<std::uint64_t> all_but_the_first;
+    for (std::uint64_t one = 2; one < 100; ++one) all_but_the_first.insert(one);
+    receive_for(4000ms, all_but_the_first);
+    EXPECT_FALSE(cancelled.contains(1));
+    EXPECT_TRUE(cancelled.contains(2));
+    EXPECT_LE(starts.size(), 9u);
+    for (std::size_t i = 1; i < starts.size(); ++i) EXPECT_LE(starts[i] - starts[i - 1], 1110ms);
+}
+
+// An answer in bursts looks like one that stopped until its second burst comes.
+TEST_F(SlowAnswerSchedule, ReceivesAnAnswerInBurstsToItsEnd) {
+    for (int burst = 0; burst < 3; ++burst) {
+        std::set<std::uint64_t> all;
+        for (std::uint64_t one = 1; one < 100; ++one) all.insert(one);
+        receive_for(1650ms, all);
+        schedule.record_progress(1, now);
+    }
+    EXPECT_FALSE(cancelled.contains(1));
+    EXPECT_LE(starts.size(), 16u);
+    for (std::size_t i = 1; i < starts.size(); ++i) EXPECT_LE(starts[i] - starts[i - 1], 1110ms);
+}
+
+// After a success the next slow answer is again asked beside without delay.
+TEST_F(SlowAnswerSchedule, ASuccessResetsTheIntervalOfParallelRequests) {
+    receive_for(4000ms);
+    while (!in_flight.empty()) finish(*in_flight.begin(), Result::Succeeded);
+    starts.clear();
+    receive_for(1000ms);
+    ASSERT_GE(starts.size(), 4u);
+    EXPECT_LE(starts[2] - starts[0], 350ms);
+}
+
+// Whatever the agent does, a request that is not overdue is in flight, or one is started within 200 ms; while
+// a slow answer is being received, within max_parallel_interval. No answer that grows steadily from the start
+// is cancelled before its limit while it is the oldest.
+TEST_F(SlowAnswerSchedule, KeepsItsLawsUnderRandomEvents) {
+    const std::uint64_t seed = std::random_device{}();
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    auto slow = limits();
+    slow.max_pause = 2000ms;
+    slow.slow_read_timeout = 10'000ms;
+    const auto kMaxParallelInterval = slow.max_parallel_interval + slow.max_retry_delay;
+    for (int run = 0; run < 300; ++run) {
+        schedule = PollSchedule(slow, seed + static_cast<std::uint64_t>(run));
+        schedule.set_enabled(true);
+        struct Request {
+            PollSchedule::Time on_time_until, first_byte, last_bytes;
+            bool reading = false;
+        };
+        std::map<std::uint64_t, Request> requests;
+        auto last_start = now, covered_until = now;
+        for (int event = 0; event < 400; ++event) {
+            const auto oldest_slow = std::find_if(requests.begin(), requests.end(), [&](const auto& entry) {
+                const Request& one = entry.second;
+                return one.reading && one.last_bytes >= one.first_byte + 150ms &&
+                       one.last_bytes + 2000ms > now && one.first_byte + 10s > now;
+            });
+            const bool beside_slow = oldest_slow != requests.end();
+            const std::uint64_t kept = beside_slow ? oldest_slow->first : 0;
+            const auto steps = schedule.next_steps(now);
+            for (const auto one : steps.cancel) {
+                ASSERT_NE(one, kept) << "run " << run << " event " << event;
+                requests.erase(one);
+            }
+            if (steps.start) {
+                requests[*steps.start] = {now + 150ms, {}, {}, false};
+                last_start = now;
+            }
+            ASSERT_EQ(requests.size(), schedule.in_flight());
+            ASSERT_LE(requests.size(), PollSchedule::kMaxInFlightBesideAnswer);
+            for (const auto& [number, one] : requests)
+                covered_until = std::max(covered_until, one.on_time_until);
+            if (beside_slow) {
+                ASSERT_LE(now, std::max(covered_until + 200ms, last_start + kMaxParallelInterval))
+                    << "run " << run << " event " << event;
+                covered_until = std::max(covered_until, now);
+            }
+            ASSERT_LE(now, covered_until + 200ms) << "run " << run << " event " << event;
+            const auto due = schedule.next_due();
+            ASSERT_TRUE(due);
+            ASSERT_GT(*due, now);
+            if (requests.empty() || random() % 4 == 0) {
+                now = *due;
+                continue;
+            }
+            auto& [number, one] = *std::next(requests.begin(), static_cast<long>(random() % requests.size()));
+            now +=
+                std::min<PollSchedule::Clock::duration>(*due - now, std::chrono::milliseconds(random() % 50));
+            const auto kind = random() % 12;
+            if (one.reading && kind > 0) {
+                schedule.record_progress(number, now);
+                one.last_bytes = now;
+            } else if (kind < 2) {
+                schedule.finish(number, random() % 2 ? Result::Succeeded : Result::Failed, now);
+                requests.erase(number);
+                covered_until = now;
+            } else if (kind < 4) {
+                schedule.enter_phase(number, Phase::Waiting, now);
+                one.on_time_until = now + 1700ms;
+            } else {
+                schedule.enter_phase(number, Phase::Reading, now);
+                one = {now + 150ms, now, now, true};
+            }
+        }
+    }
+}
+
 // On a busy machine a step may be late, with several things due. A request that is cancelled to make room
 // must not be inspected as well: the poller failed on that, polling ended, and drains were not received any
 // more.
