Discovery: what has come of an answer is read before its request is cancelled

After a hold-up, or when busy, the loop ran one read of 512 bytes and then the timer that closed the connection with the rest unread: a drain that had been written to the forwarder was lost, and an answer that had come whole was given up as incomplete. An answer whose header came in parts counted as not begun.

The first byte of a header is the beginning of an answer. Poller::inspect_partial looks for its request, since an answer that counts at a cancellation may change the poller.

--- a/src/discovery/agent_connection.hpp
+++ b/src/discovery/agent_connection.hpp
@@ -48,7 +48,7 @@
     void send_request(boost::beast::http::verb verb, const std::string& path, std::string body,
         OnPhase on_phase, OnProgress on_progress, OnAnswer on_answer);
     /// Aborts the current request and closes the connection; no handler is called afterwards. Returns the
-    /// part of the answer that was received.
+    /// part of the answer that has arrived, also what was not read yet; perhaps the complete answer.
     Answer cancel();
     /// The part of the answer to the current request that was received so far. The request continues.
     Answer partial_answer() const;
@@ -63,9 +63,13 @@
     void connect();
     void write();
     void read();
-    void on_read(boost::system::error_code error);
+    void on_readable(boost::system::error_code error);
+    bool receive_available(std::size_t max_reads, boost::system::error_code& error);
+    void report_growth();
+    void expect_answer();
     void finish_with_error(const std::string& error);
     void finish_answer();
+    Answer complete_answer();
     Answer partial_answer_with(const std::string& error);
     void close();
 
@@ -74,6 +78,7 @@
     SpareDescriptor& spare_;
     std::size_t max_bytes_;
     std::uint64_t generation_ = 0;  // changes when the request starts or ends; invalidates pending handlers
+    bool connected_ = false;
     bool answer_started_ = false;
     int interim_answers_ = 0;
     boost::beast::flat_buffer buffer_;
--- a/src/discovery/poller.cpp
+++ b/src/discovery/poller.cpp
@@ -109,8 +109,9 @@
 }
 
 void Poller::inspect_partial(std::uint64_t request) try {
-    if (!on_partial_answer_) return;
-    on_partial_answer_(request, in_flight_.at(request)->partial_answer());
+    const auto found = in_flight_.find(request);
+    if (!on_partial_answer_ || found == in_flight_.end()) return;  // a handler may have cancelled it
+    on_partial_answer_(request, found->second->partial_answer());
 } catch (const std::exception& fault) {
     log::error("discovery", "inspecting a partial answer failed", {{"why", fault.what()}});
 }
--- a/src/discovery/poller.hpp
+++ b/src/discovery/poller.hpp
@@ -28,7 +28,7 @@
         Overloaded,  ///< the agent is overloaded; the request is retried after a longer delay
         Pending,     ///< finish_processing() follows; no second request is started in the meantime
     };
-    /// Evaluates the answer to a request, also the partial answer of a cancelled one (its verdict is
+    /// Evaluates the answer to a request, also what has arrived for a cancelled one (its verdict is
     /// ignored).
     using OnAnswer = std::function<Verdict(std::uint64_t, const AgentConnection::Answer&)>;
 
--- a/tests/poll_schedule_test.cpp
+++ b/tests/poll_schedule_test.cpp
@@ -267,9 +267,9 @@
 
 // ---- slow answers ----
 
-class SlowAnswerSchedule : public PollScheduleTest {
+class PollScheduleSlowAnswers : public PollScheduleTest {
 protected:
-    SlowAnswerSchedule() {
+    PollScheduleSlowAnswers() {
         auto slow = limits();
         slow.max_pause = 2000ms;
         slow.slow_read_timeout = 10'000ms;
@@ -304,7 +304,7 @@
 
 // Issue 61 C: an agent that needs a second for its list was asked again every 150 ms, each answer was given
 // up for the next but one, and no list was ever received.
-TEST_F(SlowAnswerSchedule, ReceivesASlowAnswerToItsEndAndAsksBesideIt) {
+TEST_F(PollScheduleSlowAnswers, ReceivesASlowAnswerToItsEndAndAsksBesideIt) {
     receive_for(5000ms);
     EXPECT_FALSE(cancelled.contains(1));
     EXPECT_FALSE(cancelled.contains(2)) << "the first answer may fail at its end";
@@ -316,7 +316,7 @@
     EXPECT_EQ(schedule.consecutive_failures(), 0u);
 }
 
-TEST_F(SlowAnswerSchedule, AnAnswerThatNeverEndsIsCancelledAtItsLimit) {
+TEST_F(PollScheduleSlowAnswers, AnAnswerThatNeverEndsIsCancelledAtItsLimit) {
     receive_for(11s);
     ASSERT_TRUE(cancelled.contains(1));
     EXPECT_GE(cancelled.at(1) - starts.front(), 10s);
@@ -324,7 +324,7 @@
     EXPECT_LE(starts.size(), 16u);
 }
 
-TEST_F(SlowAnswerSchedule, AnAnswerThatStopsGrowingIsLost) {
+TEST_F(PollScheduleSlowAnswers, AnAnswerThatStopsGrowingIsLost) {
     receive_for(3000ms);
     receive_for(2100ms, {1});
     ASSERT_TRUE(cancelled.contains(1));
@@ -332,7 +332,7 @@
 }
 
 // An answer that stopped makes room for another request as soon as it is overdue, and the slow one is kept.
-TEST_F(SlowAnswerSchedule, AnswersThatStopMakeRoomBesideASlowOne) {
+TEST_F(PollScheduleSlowAnswers, AnswersThatStopMakeRoomBesideASlowOne) {
     std::set<std::uint64_t> all_but_the_first;
     for (std::uint64_t one = 2; one < 100; ++one) all_but_the_first.insert(one);
     receive_for(4000ms, all_but_the_first);
@@ -343,7 +343,7 @@
 }
 
 // An answer in bursts looks like one that stopped until its second burst comes.
-TEST_F(SlowAnswerSchedule, ReceivesAnAnswerInBurstsToItsEnd) {
+TEST_F(PollScheduleSlowAnswers, ReceivesAnAnswerInBurstsToItsEnd) {
     for (int burst = 0; burst < 3; ++burst) {
         std::set<std::uint64_t> all;
         for (std::uint64_t one = 1; one < 100; ++one) all.insert(one);
@@ -356,7 +356,7 @@
 }
 
 // After a success the next slow answer is again asked beside without delay.
-TEST_F(SlowAnswerSchedule, ASuccessResetsTheIntervalOfParallelRequests) {
+TEST_F(PollScheduleSlowAnswers, ASuccessResetsTheIntervalOfParallelRequests) {
     receive_for(4000ms);
     while (!in_flight.empty()) finish(*in_flight.begin(), Result::Succeeded);
     starts.clear();
@@ -368,7 +368,7 @@
 // Whatever the agent does, a request that is not overdue is in flight, or one is started within 200 ms; while
 // a slow answer is being received, within max_parallel_interval. No answer that grows steadily from the start
 // is cancelled before its limit while it is the oldest.
-TEST_F(SlowAnswerSchedule, KeepsItsLawsUnderRandomEvents) {
+TEST_F(PollScheduleSlowAnswers, KeepsItsLawsUnderRandomEvents) {
     const std::uint64_t seed = std::random_device{}();
     SCOPED_TRACE("seed " + std::to_string(seed));
     std::mt19937_64 random(seed);
--- a/tests/poller_test.cpp
+++ b/tests/poller_test.cpp
@@ -34,6 +34,13 @@
         });
     }
 
+    /// Writes a part of an answer to each request that waits.
+    void write_to_all(const std::string& bytes) {
+        boost::asio::post(io_, [this, bytes] {
+            for (const auto& peer : held_) peer->write(bytes, [this](auto) { ++answered_; });
+        });
+    }
+
 private:
     void handle(const std::shared_ptr<rig::Peer>& peer) {
         ++requests_;
@@ -60,14 +67,16 @@
         limits.connect_timeout = limits.answer_timeout = limits.read_timeout = 150ms;
         return limits;
     }
-    void start(const Agent& agent, std::function<void()> on_answer) {
+    void start(const Agent& agent, std::function<void()> on_answer) { start(agent, limits(), on_answer); }
+    void start(const Agent& agent, const PollSchedule::Limits& limits, std::function<void()> on_answer) {
         poller_.emplace(
-            io_, limits(), 1, kMaxBytes,
+            io_, limits, 1, kMaxBytes,
             [](std::uint64_t) {
                 return Poller::Request{boost::beast::http::verb::get, "/", "", {}};
             },
             [this, on_answer = std::move(on_answer)](std::uint64_t request, const auto& answer) {
                 answers_.emplace_back(request, answer.status);
+                bodies_.push_back(answer.body);
                 on_answer();
                 return answer.status == 204 ? Poller::Verdict::Accepted : Poller::Verdict::Rejected;
             });
@@ -89,6 +98,7 @@
     boost::asio::io_context io_{1};
     std::optional<Poller> poller_;
     std::vector<std::pair<std::uint64_t, unsigned>> answers_;
+    std::vector<std::string> bodies_;
 };
 
 // The answer waits in the socket when the time of its request ends, and its handler runs first. It disables
@@ -106,6 +116,64 @@
     EXPECT_EQ(answers_, (std::vector<std::pair<std::uint64_t, unsigned>>{{1, 204}}));
 }
 
+class AnswerInParts : public PollerTest {
+protected:
+    static constexpr std::size_t kBody = 40'000, kFirstPart = 100;
+    static std::string first_part() {
+        return "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n" +
+               std::string(kFirstPart, 'a');
+    }
+    /// The agent writes the first part, which is read, and then `bytes`, while the loop is held up until the
+    /// time of the request has passed.
+    void play(Agent& agent, std::size_t bytes) {
+        start(agent, [this] { poller_->set_enabled(false); });
+        ASSERT_TRUE(run_until([&] { return agent.requests() == 1; }));
+        agent.write_to_all(first_part());
+        wait_for([&] { return agent.answered() == 1; });
+        io_.run_for(20ms);
+        agent.write_to_all(std::string(bytes, 'b'));
+        wait_for([&] { return agent.answered() == 2; });
+        hold_up();
+        ASSERT_TRUE(run_until([&] { return !answers_.empty(); }));
+    }
+};
+
+// What has come of an answer when its time ends counts, read or not: there may be a drain in it. Only the
+// first 512 bytes that had come during a hold-up were read, and the rest was lost with the connection.
+TEST_F(AnswerInParts, WhatHasComeWhenItsTimeEndsIsEvaluated) {
+    Agent agent(false);
+    play(agent, kBody / 2);
+    ASSERT_EQ(answers_.size(), 1u);
+    EXPECT_EQ(answers_[0].second, 0u);
+    EXPECT_EQ(bodies_[0].size(), kFirstPart + kBody / 2);
+}
+
+TEST_F(AnswerInParts, AnAnswerThatIsCompleteWhenItsTimeEndsIsWhole) {
+    Agent agent(false);
+    play(agent, kBody - kFirstPart);
+    ASSERT_EQ(answers_.size(), 1u);
+    EXPECT_EQ(answers_[0].second, 200u);
+    EXPECT_EQ(bodies_[0].size(), kBody);
+}
+
+// An answer has begun with the first byte of its header.
+TEST_F(AnswerInParts, APartOfTheHeaderIsTheBeginningOfAnAnswer) {
+    Agent agent(false);
+    PollSchedule::Limits limits;
+    limits.answer_overdue = limits.answer_timeout = 1500ms;
+    limits.read_overdue = limits.read_timeout = 10s;
+    start(agent, limits, [this] { poller_->set_enabled(false); });
+    ASSERT_TRUE(run_until([&] { return agent.requests() == 1; }));
+    const std::string answer = first_part();
+    agent.write_to_all(answer.substr(0, 20));
+    io_.run_for(2500ms);
+    EXPECT_TRUE(answers_.empty());
+    agent.write_to_all(answer.substr(20) + std::string(kBody - kFirstPart, 'b'));
+    ASSERT_TRUE(run_until([&] { return !answers_.empty(); }));
+    EXPECT_EQ(answers_[0].second, 200u);
+    EXPECT_EQ(agent.requests(), 1);
+}
+
 // Two requests time out in one turn, and the handler of the first changes the agent, which cancels the
 // second.
 TEST_F(PollerTest, AnotherAgentIsSetWhileRequestsTimeOut) {
