--- a/rig/directory.cpp
+++ b/rig/directory.cpp
@@ -157,6 +157,12 @@
     });
 }
 
+bool Directory::asked_from(std::int64_t revision) const {
+    const std::lock_guard lock(mutex_);
+    return std::any_of(requests_.begin(), requests_.end(),
+        [&](const std::string& path) { return parameter(path, "from").value_or(-1) >= revision; });
+}
+
 void Directory::handle(const std::shared_ptr<Peer>& peer, const Request& request) {
     const std::string path(request.target());
     if (path == "/reports") return take_notices(peer, request.body());
--- a/rig/directory.hpp
+++ b/rig/directory.hpp
@@ -86,6 +86,8 @@
     std::size_t posts() const;  ///< requests with notices, answered or not
     /// Waits until `revision` was asked from, which says that it was taken; false after `within`.
     bool wait_asked_from(std::int64_t revision, std::chrono::milliseconds within) const;
+    /// Whether this revision or a later one was asked from, which says that it was taken.
+    bool asked_from(std::int64_t revision) const;
     std::int64_t revision() const;
     std::size_t faults_left() const;
 
--- a/rig/soak/broken_file.cpp
+++ b/rig/soak/broken_file.cpp
@@ -24,7 +24,7 @@
 std::string broken_file(Json config, std::mt19937_64& random) {
     for (Json& row : config["settings"]["classes"]) row["effect"] = "retryable";
     const Place key = random_key(config, random);
-    switch (random() % 4) {
+    switch (random() % 5) {
         case 0: {
             const std::string text = config.dump();
             return text.substr(0, random() % text.size());
@@ -32,6 +32,11 @@
         case 1:
             config[key] = config[key].is_string() ? Json(7) : Json("seven");
             return config.dump();
+        case 2: {
+            Json& classes = config["settings"]["classes"];
+            classes[random() % classes.size()]["dedup_scope"] = "planet";
+            return config.dump();
+        }
         default:
             config[key.parent_pointer()].erase(key.back());
             return config.dump();
--- a/rig/soak/broken_file.hpp
+++ b/rig/soak/broken_file.hpp
@@ -1,4 +1,5 @@
-/// Configuration files that must not be taken: incomplete, cut off, or with values of wrong types.
+/// Configuration files that must not be taken: incomplete, cut off, with values of wrong types or unknown
+/// words.
 #pragma once
 
 #include <nlohmann/json.hpp>
--- a/rig/soak/checker.cpp
+++ b/rig/soak/checker.cpp
@@ -43,6 +43,7 @@
         check_drains();
         check_waits();
         check_returns();
+        check_list_changes();
         if (seen_.unknown > 0)
             violations_.push_back({Rule::UnknownMessage, "", std::to_string(seen_.unknown)});
         return std::move(violations_);
@@ -68,6 +69,21 @@
         }
     }
 
+    // ---- a change that discovery has counts as told, however slowly it answers ----
+
+    bool restarted_between(Clock::time_point from, Clock::time_point to) const {
+        return std::any_of(seen_.restarts.begin(), seen_.restarts.end(), [&](const Restart& restart) {
+            return restart.told <= to && restart.ready.value_or(Clock::time_point::max()) >= from;
+        });
+    }
+    void check_list_changes() {
+        for (const ListChange& change : seen_.list_changes) {
+            if (change.known || restarted_between(change.made, change.due)) continue;
+            const double made = std::chrono::duration<double>(change.made - seen_.began).count();
+            violations_.push_back({Rule::ListNotKnown, "", "changed at " + std::to_string(made) + " s"});
+        }
+    }
+
     // ---- a message that may have run is sent again only as its class allows; never two attempts out ----
 
     bool may_repeat(
@@ -270,6 +286,8 @@
             return "drain ignored";
         case Rule::WaitIgnored:
             return "wait ignored";
+        case Rule::ListNotKnown:
+            return "list not known";
         case Rule::NotBackInService:
             return "not back in service";
         case Rule::UnknownMessage:
@@ -336,10 +354,10 @@
         {"unasked", observations.unasked}, {"cut", observations.cut}, {"hung", observations.hung},
         {"withdrawn", withdrawn}, {"given_up", given_up}, {"answers", std::move(statuses)},
         {"restarts", std::move(restarts)}, {"drains", observations.drains.size()},
-        {"returns", observations.returns.size()}, {"waits", observations.waits.size()},
-        {"crashes", observations.crashes}, {"handed_in_again", observations.handed_in_again},
-        {"orders", count_orders(observations)}, {"dead_though_never_run", ended_unrun},
-        {"broken", std::move(broken)}};
+        {"returns", observations.returns.size()}, {"list_changes", observations.list_changes.size()},
+        {"waits", observations.waits.size()}, {"crashes", observations.crashes},
+        {"handed_in_again", observations.handed_in_again}, {"orders", count_orders(observations)},
+        {"dead_though_never_run", ended_unrun}, {"broken", std::move(broken)}};
 }
 
 }  // namespace lockgw::rig::soak
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -92,6 +92,12 @@
     bool serves = false;     ///< PING was answered with yes when that was due
 };
 
+/// A change that discovery told slowly.
+struct ListChange {
+    Clock::time_point made, due;
+    bool known = false;  ///< when it was due, a forwarder had asked from its revision
+};
+
 struct Observations {
     Clock::time_point began;
     std::map<std::string, ObservedMessage> messages;  ///< by id
@@ -101,6 +107,7 @@
     std::vector<Restart> restarts;
     std::vector<Drain> drains;
     std::vector<ReturnToService> returns;
+    std::vector<ListChange> list_changes;
     std::uint64_t connections = 0;          ///< accepted by targets
     std::uint64_t copies = 0;               ///< second copies of answers that were written
     std::uint64_t unasked = 0;              ///< answers to no call that ended an idle connection
--- a/rig/soak/soak.cpp
+++ b/rig/soak/soak.cpp
@@ -30,6 +30,10 @@
 constexpr Milliseconds kConsoleDrainEvery{2000}, kShortestAway{50}, kLongestAway{2500}, kOrderAgain{200};
 constexpr Milliseconds kShortestConsoleHoldUp{20};
 constexpr Milliseconds kBackInServiceWithin{2000};  // the operators' days: 2 s after the second call
+constexpr Milliseconds kShortestAnswer{500}, kLongestAnswer{3000};
+constexpr std::size_t kMostPieces = 40;
+constexpr Milliseconds kKnownWithin{6000};  // beyond the time of an answer
+constexpr std::int64_t kRevisionJump = 100;
 constexpr Milliseconds kReadyPoll{20}, kCrowdReturns{100};
 constexpr std::size_t kSockets = 1024, kSocketsInACrowd = 160;
 constexpr std::size_t kMostLogLines = 12;  // of a story
@@ -195,6 +199,7 @@
         if (restarts()) repeat(kRestartEvery, [this] { restart(); });
         if (plan_.console_drains) repeat(kConsoleDrainEvery, [this] { drain_by_console(); });
         if (plan_.reloads || plan_.broken_files) repeat(kReloadEvery, [this] { reload(); });
+        if (plan_.slow_discovery) slow_down_discovery();
         if (plan_.drains) repeat(kDrainEvery, [this] { drain(); });
         if (plan_.hanging_spells) repeat(kSpellEvery, [this] { hang(); });
         if (plan_.crashes) repeat(kCrashEvery, [this] { crash(); });
@@ -306,6 +311,20 @@
         members_[target]["phase"] = "in_service";
         directory_.put(members_[target]);
     }
+    /// A change that takes its time, perhaps with the whole list, perhaps behind a refusal.
+    void slow_down_discovery() {
+        if (faults_over_) return;
+        const Milliseconds span = between(kShortestAnswer, kLongestAnswer);
+        directory_.pace({span, 2 + random_() % kMostPieces, 0});
+        if (random_() % 2 == 0) directory_.count_anew(directory_.revision() + kRevisionJump);
+        if (random_() % 2 == 0) directory_.fault({rig::ListFault::Kind::Status});
+        directory_.put(members_.back());
+        const auto made = Clock::now();
+        later(span + kKnownWithin, [this, made, revision = directory_.revision()] {
+            observations_.list_changes.push_back({made, Clock::now(), directory_.asked_from(revision)});
+            slow_down_discovery();
+        });
+    }
     void hang() {
         const auto destination = random_() % static_cast<std::uint64_t>(plan_.destinations);
         const auto until = Clock::now() + between(kShortestSpell, kLongestSpell);
@@ -412,6 +431,7 @@
     plan.crashes = chance(0.5);
     plan.hand_in_again = chance(0.5);
     plan.batches = chance(0.5) ? 0.03 : 0;
+    plan.slow_discovery = chance(0.5);
 }
 
 Json text_of(const SoakPlan& plan) {
@@ -426,7 +446,8 @@
         {"hanging_spells", plan.hanging_spells}, {"impatient", plan.impatient}, {"withdrawn", plan.withdrawn},
         {"bursts", plan.bursts}, {"crowd", plan.crowd}, {"broken_files", plan.broken_files},
         {"console_drains", plan.console_drains}, {"crashes", plan.crashes},
-        {"hand_in_again", plan.hand_in_again}, {"batches", plan.batches}};
+        {"hand_in_again", plan.hand_in_again}, {"batches", plan.batches},
+        {"slow_discovery", plan.slow_discovery}};
 }
 
 SoakResult play(const SoakPlan& plan) { return Run(plan).play(); }
--- a/rig/soak/soak.hpp
+++ b/rig/soak/soak.hpp
@@ -29,6 +29,7 @@
     bool broken_files =
         false;  ///< half of the reloads, which it turns on, find a file that is not to be taken
     bool console_drains = false;  ///< operators take forwarders out of service and put them back
+    bool slow_discovery = false;  ///< discovery takes 0.5 to 3 s for an answer, and refuses now and then
     bool drains = false;          ///< targets are drained and come back
     bool hanging_spells = false;  ///< all targets of a destination hang for 2 to 3 s now and then
     bool crashes = false;  ///< all targets of a destination die with calls out, and are back after a while
--- a/rig/soak_main.cpp
+++ b/rig/soak_main.cpp
@@ -41,6 +41,7 @@
     app.add_option("--crowd", plan.crowd, "idle connections to each forwarder");
     app.add_flag("--broken-files", plan.broken_files, "SIGHUP with sound and with broken files");
     app.add_flag("--console-drains", plan.console_drains, "forwarders are taken out of service and put back");
+    app.add_flag("--slow-discovery", plan.slow_discovery, "discovery takes 0.5 to 3 s for an answer");
     bool drawn = false;
     app.add_flag(
         "--drawn", drawn, "all faults are drawn from the seed; other options for faults are ignored");
