Soak: each forwarder has an agent of its own, and what it was told is judged by itself

The checker took a drain as told to all forwarders when it had been written to one; with answers of 0.5 to 3 s the others had not been told.

--- a/rig/soak/checker.hpp
+++ b/rig/soak/checker.hpp
@@ -19,7 +19,7 @@
     DrainIgnored,      ///< called at a target that drains, after the grace
     WaitIgnored,       ///< called at a target that has told this forwarder to wait
     UnknownMessage,    ///< a call of a message that nobody handed in
-    ListNotKnown,      ///< discovery had a change, was slow, and no forwarder knows it when it is due
+    ListNotKnown,  ///< discovery had a change, was slow, and its forwarder does not know it when it is due
     NotBackInService,  ///< put back in service, and PING is not answered with yes when that is due
 };
 const char* text_of(Rule rule);
--- a/rig/soak/observations.hpp
+++ b/rig/soak/observations.hpp
@@ -78,8 +78,9 @@
     std::optional<Clock::time_point> ready;  ///< of the next process
 };
 
-/// A target that discovery has told to drain.
+/// A target that discovery has told a forwarder to drain.
 struct Drain {
+    std::size_t forwarder = 0;  ///< that was told
     std::size_t target = 0;
     Clock::time_point told;
     std::optional<Clock::time_point> back;
@@ -92,10 +93,11 @@
     bool serves = false;     ///< PING was answered with yes when that was due
 };
 
-/// A change that discovery told slowly.
+/// A change that the agent of a forwarder told slowly.
 struct ListChange {
+    std::size_t forwarder = 0;
     Clock::time_point made, due;
-    bool known = false;  ///< when it was due, a forwarder had asked from its revision
+    bool known = false;  ///< when it was due, the forwarder had asked from its revision
 };
 
 struct Observations {
