Tier rig: ports of notes are drawn on hosts of the process's own

The mesh drew the UDP ports of its forwarders on 127.0.0.1 and let go of them before the forwarders were started; another test that drew one meanwhile kept it. They are drawn on hosts that no other process draws from, as the forwarders' TCP ports are since the same fault there (RigNode.HasAnAddressThatNoOtherOneHas).

Measured: NoteMesh.GivesEachForwarderAHost... is green, and asks what the code before did not do (all on 127.0.0.1, by reading; not run red).

--- a/rig/tier/relay.cpp
+++ b/rig/tier/relay.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "rig/node.hpp"
+
 namespace lockgw::rig::tier {
 
 namespace {
@@ -14,7 +16,8 @@
     : io_(io), random_(seed), from_(forwarders), in_(forwarders), faults_(forwarders) {
     std::vector<Udp::socket> taken;  // given back together: the forwarders bind them
     for (std::size_t i = 0; i < forwarders; ++i) {
-        taken.emplace_back(io, Udp::endpoint(kLoopback, 0));
+        // on a host that no other process draws a port of meanwhile
+        taken.emplace_back(io, Udp::endpoint(free_endpoint().address(), 0));
         ends_.push_back(std::make_unique<Udp::socket>(io, Udp::endpoint(kLoopback, 0)));
         own_.push_back(taken.back().local_endpoint());
         number_[own_.back()] = i;
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "rig/http.hpp"
 #include "rig/node.hpp"
 #include "rig/tier/latency.hpp"
@@ -28,6 +30,18 @@
     return static_cast<double>(one.in_time) / static_cast<double>(std::max<std::size_t>(1, one.messages));
 }
 
+// CI, once: "bind: Address already in use" until the start was given up. The ports of the forwarders' notes
+// were drawn on 127.0.0.1 and let go of, and another test drew one before its forwarder was there.
+TEST(NoteMesh, GivesEachForwarderAHostThatNoOtherProcessDrawsFrom) {
+    constexpr std::size_t kForwarders = 20;
+    boost::asio::io_context io;
+    const NoteMesh mesh(io, kForwarders, 1);
+    std::set<std::string> hosts;
+    for (std::size_t i = 0; i < kForwarders; ++i) hosts.insert(mesh.own(i).address().to_string());
+    EXPECT_EQ(hosts.size(), kForwarders);
+    EXPECT_FALSE(hosts.contains("127.0.0.1"));
+}
+
 // All have the same list and see little each: before, all went to its first.
 TEST(Tier, NoHerdOnOneTarget) {
     const Scenario one = scenario(16, 4, 6);
